--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,42 @@
+// Package clock gives the time to code whose decisions depend on it, so that
+// tests can drive those decisions with a clock of their own.
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Clock tells the time. Differences between two readings must be monotonic.
+type Clock interface {
+	Now() time.Time
+}
+
+// Real is the clock of the machine.
+type Real struct{}
+
+// Now returns the current time with its monotonic reading.
+func (Real) Now() time.Time { return time.Now() }
+
+// Fake is a clock that moves only when told to. It is safe for concurrent use.
+type Fake struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+// NewFake returns a fake clock that stands at start.
+func NewFake(start time.Time) *Fake { return &Fake{now: start} }
+
+// Now returns the time that the clock stands at.
+func (f *Fake) Now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// Advance moves the clock forward by d.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,175 @@
+// Package command defines the typed commands that the replicated log carries
+// and the results that applying them gives.
+package command
+
+import (
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Command is a union: exactly one field is set.
+type Command struct {
+	HostJoined       *HostJoined       `msgpack:",omitempty"`
+	HostLost         *HostLost         `msgpack:",omitempty"`
+	BackendAnnounced *BackendAnnounced `msgpack:",omitempty"`
+	BackendLost      *BackendLost      `msgpack:",omitempty"`
+	Released         *Released         `msgpack:",omitempty"`
+	Move             *Move             `msgpack:",omitempty"`
+	Split            *Split            `msgpack:",omitempty"`
+	Publish          *Publish          `msgpack:",omitempty"`
+	Drain            *Drain            `msgpack:",omitempty"`
+}
+
+// HostJoined records an entry host that opened a session.
+type HostJoined struct {
+	Host       string
+	DataCentre string
+	// PeerAddress serves jsonrpc2, RelayAddress relayed HTTP requests and
+	// BackendsAddress announcements of backend servers; all are IP:port.
+	PeerAddress     string
+	RelayAddress    string
+	BackendsAddress string
+	AdminAddress    string
+}
+
+// HostLost records that the session of an entry host is over, by expiry or by
+// an orderly stop. Its dispatcher roles go to the standby dispatchers.
+type HostLost struct {
+	Host string
+	// Planned is set when the host closed its session itself.
+	Planned bool
+}
+
+// BackendAnnounced records a new backend server or a new incarnation of one.
+type BackendAnnounced struct {
+	Backend      string // unique within the service
+	Service      string
+	Incarnation  string
+	DataCentre   string
+	Address      string // IP:port of its HTTP listener
+	Slots        int
+	Connections  int
+	ChecksOrders bool
+}
+
+// BackendLost records that the lease of a backend server is surely over.
+type BackendLost struct {
+	Backend     string
+	Service     string
+	Incarnation string
+}
+
+// Released records that the old owner gave up slices that are being moved, or
+// that its lease is surely over.
+type Released struct {
+	Service string
+	Backend string
+	// Starts are the starts of the released slices; Epochs their epochs at the
+	// time of the release. A release of another epoch has no effect.
+	Starts []uint64
+	Epochs []uint64
+}
+
+// Move starts moving slices to other owners.
+type Move struct {
+	Service string
+	Moves   []SliceMove
+}
+
+// SliceMove names a slice, the epoch that the decision was based on and the next owner.
+type SliceMove struct {
+	Start uint64
+	Epoch uint64
+	To    string
+}
+
+// Split cuts slices so that each hash becomes a slice of its own.
+type Split struct {
+	Service string
+	Hashes  []uint64
+}
+
+// Publish replaces or adds service files.
+type Publish struct {
+	RequestID string
+	Files     []File
+}
+
+// File is one service file as its team wrote it.
+type File struct {
+	Name    string // file name, for error messages
+	Content string
+}
+
+// DrainKind says what an operator takes out.
+type DrainKind string
+
+// The things that an operator can take out of service.
+const (
+	DrainDataCentre DrainKind = "data-centre"
+	DrainBackend    DrainKind = "backend"
+)
+
+// Drain takes a data centre or a backend server out of service, or restores it.
+type Drain struct {
+	RequestID string
+	Kind      DrainKind
+	// Name is a data centre, or SERVICE/BACKEND for a backend server.
+	Name string
+	Out  bool
+	// Version is the version of the drain record that this command creates;
+	// it builds on Version-1. Zero means "the next one, whatever it is".
+	Version uint64
+}
+
+// ResultCode classifies the outcome of a command.
+type ResultCode string
+
+// The outcomes of a command.
+const (
+	ResultOK       ResultCode = "ok"
+	ResultConflict ResultCode = "conflict" // another command won; Detail names it
+	ResultInvalid  ResultCode = "invalid"  // refused by a rule; nothing changed
+	ResultStale    ResultCode = "stale"    // based on a state that is gone; nothing changed
+)
+
+// Result is the outcome of a command. It is replicated state for commands with
+// a request id, so that a repeated request gets the original answer.
+type Result struct {
+	Code     ResultCode
+	Detail   string   `msgpack:",omitempty"`
+	Problems []string `msgpack:",omitempty"`
+	Revision uint64
+	// Versions gives the resulting version by service or drained name.
+	Versions map[string]uint64 `msgpack:",omitempty"`
+}
+
+// Encode returns the log form of c.
+func (c *Command) Encode() ([]byte, error) {
+	data, err := msgpack.Marshal(c)
+	return data, errors.Annotate(err, "encoding command")
+}
+
+// Decode reads the log form of a command.
+func Decode(data []byte) (*Command, error) {
+	var c Command
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return nil, errors.Annotate(err, "decoding command")
+	}
+	return &c, nil
+}
+
+// EncodeResult returns the log form of r.
+func EncodeResult(r *Result) ([]byte, error) {
+	data, err := msgpack.Marshal(r)
+	return data, errors.Annotate(err, "encoding result")
+}
+
+// DecodeResult reads the log form of a result.
+func DecodeResult(data []byte) (*Result, error) {
+	var r Result
+	if err := msgpack.Unmarshal(data, &r); err != nil {
+		return nil, errors.Annotate(err, "decoding result")
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,77 @@
+// Package verdict says whether a request may have run on a backend server.
+//
+// Every refusal and failure that reaches a caller carries a verdict. Only a
+// request whose verdict is NotRun may be sent again when it is not idempotent.
+package verdict
+
+import "fmt"
+
+// Verdict states what is known about the execution of a request.
+type Verdict uint8
+
+// The verdicts, from the safest to retry to the final one.
+const (
+	// NotRun means that the request certainly did not run.
+	NotRun Verdict = iota + 1
+	// MayHaveRun means that the request may have run, in part or in whole.
+	MayHaveRun
+	// Answered means that the backend server answered the request.
+	Answered
+)
+
+// Header carries the verdict in HTTP responses.
+const Header = "Agatestep-Verdict"
+
+var names = map[Verdict]string{
+	NotRun:     "not-run",
+	MayHaveRun: "may-have-run",
+	Answered:   "answered",
+}
+
+// String returns the header form of v.
+func (v Verdict) String() string {
+	if name, ok := names[v]; ok {
+		return name
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(v))
+}
+
+// Parse reads the header form of a verdict.
+func Parse(text string) (Verdict, bool) {
+	for v, name := range names {
+		if name == text {
+			return v, true
+		}
+	}
+	return 0, false
+}
+
+// Reason is a stable code that says why a request was refused or failed.
+type Reason string
+
+// Error is a failure of a request together with what is known of its execution.
+type Error struct {
+	Verdict Verdict
+	// Status is the HTTP status for the caller.
+	Status int
+	// Reason is the machine-readable code, sent in ReasonHeader.
+	Reason Reason
+	// Detail names the thing and the rule for a human reader.
+	Detail string
+	// Cause is the underlying error, if any.
+	Cause error
+}
+
+// ReasonHeader carries the reason code in HTTP responses.
+const ReasonHeader = "Agatestep-Reason"
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s (%s, %s): %v", e.Detail, e.Reason, e.Verdict, e.Cause)
+	}
+	return fmt.Sprintf("%s (%s, %s)", e.Detail, e.Reason, e.Verdict)
+}
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/wire/peer.go
@@ -0,0 +1,110 @@
+package wire
+
+import "github.com/agatestep/agatestep/internal/command"
+
+// Methods of the jsonrpc2 protocol between daemons.
+const (
+	MethodReplicationStep = "replication.step" // notification, ReplicationStep
+	MethodSessionRenew    = "session.renew"    // SessionRenew -> SessionReply
+	MethodTableWatch      = "table.watch"      // TableWatch -> TableReply
+	MethodPropose         = "control.propose"  // Proposal -> ProposalReply
+	MethodOperate         = "control.operate"  // Proposal -> ProposalReply
+	MethodAnnounce        = "backend.announce" // Announcement -> AnnounceReply
+	MethodTimelineRead    = "timeline.read"    // TimelineRead -> TimelineReply
+	MethodStatusRead      = "status.read"
+)
+
+// ReplicationStep carries one encoded message of the replicated log.
+type ReplicationStep struct {
+	Message []byte `json:"message"`
+}
+
+// SessionRenew opens or renews the session of an entry host.
+type SessionRenew struct {
+	Host command.HostJoined `json:"host"`
+	// Instance identifies the process; a restarted process has a new one.
+	Instance string `json:"instance"`
+	// Applied is the revision of the routing table that the host routes by.
+	Applied uint64 `json:"applied"`
+	// Closing ends the session in an orderly way.
+	Closing bool         `json:"closing,omitempty"`
+	Loads   []SliceLoads `json:"loads,omitempty"`
+}
+
+// SliceLoads reports the requests per slice that one dispatcher served since its last report.
+type SliceLoads struct {
+	Service string       `json:"service"`
+	Backend string       `json:"backend"`
+	Slices  []SliceCount `json:"slices,omitempty"`
+	Keys    []KeyCount   `json:"keys,omitempty"`
+	// BusyMs is the time that slots of the backend server were busy.
+	BusyMs int64 `json:"busy_ms"`
+}
+
+// SliceCount counts the requests of one slice.
+type SliceCount struct {
+	Start uint64 `json:"start"`
+	Count uint64 `json:"count"`
+}
+
+// KeyCount counts the requests of one hot key, by its hash.
+type KeyCount struct {
+	Hash  uint64 `json:"hash"`
+	Count uint64 `json:"count"`
+}
+
+// SessionReply grants a session, counted by the host from when it sent the renewal.
+type SessionReply struct {
+	Granted bool   `json:"granted"`
+	TTLMs   int64  `json:"ttl_ms"`
+	Leader  string `json:"leader,omitempty"` // where to renew when not granted
+	Reason  string `json:"reason,omitempty"`
+	// Revision is the revision of the leader's state.
+	Revision uint64 `json:"revision"`
+}
+
+// TableWatch asks for the changes after Revision; the reply may take up to the poll time.
+type TableWatch struct {
+	Host     string `json:"host"`
+	Revision uint64 `json:"revision"`
+}
+
+// TableReply carries a delta or a snapshot, both in the encoding of package table.
+type TableReply struct {
+	Revision uint64 `json:"revision"`
+	Snapshot []byte `json:"snapshot,omitempty"`
+	Delta    []byte `json:"delta,omitempty"`
+	Leader   string `json:"leader,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+// Proposal carries an encoded command.Command to the leader.
+type Proposal struct {
+	Command []byte `json:"command"`
+	// WaitInForce makes the reply wait until the revision is in force.
+	WaitInForce bool `json:"wait_in_force,omitempty"`
+	// WaitMs bounds that wait.
+	WaitMs int64 `json:"wait_ms,omitempty"`
+}
+
+// ProposalStatus says what is known of a proposal.
+type ProposalStatus string
+
+// The states of a proposal.
+const (
+	ProposalApplied   ProposalStatus = "applied"
+	ProposalNotLeader ProposalStatus = "not-leader" // certainly not applied; ask Leader
+	ProposalDropped   ProposalStatus = "dropped"    // certainly not applied
+	ProposalUnknown   ProposalStatus = "unknown"    // may be applied; sending again is safe
+)
+
+// ProposalReply answers a proposal.
+type ProposalReply struct {
+	Status  ProposalStatus  `json:"status"`
+	Leader  string          `json:"leader,omitempty"`
+	Result  *command.Result `json:"result,omitempty"`
+	InForce bool            `json:"in_force"`
+	// Pending names the hosts that have neither acknowledged the revision nor lost their session.
+	Pending []string `json:"pending,omitempty"`
+	Reason  string   `json:"reason,omitempty"`
+}
