--- /dev/null
+++ b/internal/balance/budget.go
@@ -0,0 +1,36 @@
+package balance
+
+import "sync"
+
+// Budget bounds retries and hedges to a share of the requests. It is safe for
+// concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	ratio  float64
+	burst  float64
+	tokens float64
+}
+
+// NewBudget returns a budget that allows ratio extra requests per request and at
+// most burst of them in a row. It starts full.
+func NewBudget(ratio, burst float64) *Budget {
+	return &Budget{ratio: ratio, burst: burst, tokens: burst}
+}
+
+// OnRequest adds the share of one request.
+func (b *Budget) OnRequest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+b.ratio, b.burst)
+}
+
+// TrySpend takes one extra request from the budget, if it allows one.
+func (b *Budget) TrySpend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
