--- a/internal/service/file.go
+++ b/internal/service/file.go
@@ -6,21 +6,21 @@
 
 // File is one validated service file.
 type File struct {
-	Service     string
-	Team        string
-	Version     uint64
-	Match       Match
-	Key         *KeySource // nil when the service is not divided by key
-	Backend     BackendShape
-	Deadline    Deadline
-	Idempotent  []IdempotentRule
-	ColdStart   ColdStart
-	Slices      int
-	DataCentres DataCentres
-	Prefer      Preference
-	Expect      []Expectation
+	Service     string           `yaml:"service"`
+	Team        string           `yaml:"team"`
+	Version     uint64           `yaml:"version"`
+	Match       Match            `yaml:"match"`
+	Key         *KeySource       `yaml:"key"` // nil when the service is not divided by key
+	Backend     BackendShape     `yaml:"backend"`
+	Deadline    Deadline         `yaml:"deadline"`
+	Idempotent  []IdempotentRule `yaml:"idempotent"`
+	ColdStart   ColdStart        `yaml:"cold_start"`
+	Slices      int              `yaml:"slices"`
+	DataCentres DataCentres      `yaml:"data_centres"`
+	Prefer      Preference       `yaml:"prefer"`
+	Expect      []Expectation    `yaml:"expect"`
 	// MaxBodyBytes caps the request body; zero means the daemon's own cap.
-	MaxBodyBytes int64
+	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 }
 
 // Keyed reports whether the service is divided by key.
@@ -28,47 +28,47 @@
 
 // Match says which requests belong to the service.
 type Match struct {
-	Hosts        []string
-	PathPrefixes []string
+	Hosts        []string `yaml:"hosts"`
+	PathPrefixes []string `yaml:"path_prefixes"`
 }
 
 // KeySource says where a request carries its key; exactly one field is set.
 type KeySource struct {
-	Header string
-	Query  string
+	Header string `yaml:"header"`
+	Query  string `yaml:"query"`
 	// PathSegment is the 0-based segment after the matched prefix; -1 when unused.
-	PathSegment int
+	PathSegment int `yaml:"path_segment"`
 }
 
 // BackendShape describes the backend servers of the service.
 type BackendShape struct {
-	Slots          int
-	Connections    int
-	ConnectionCost time.Duration
-	ProbeCost      time.Duration
+	Slots          int           `yaml:"slots"`
+	Connections    int           `yaml:"connections"`
+	ConnectionCost time.Duration `yaml:"connection_cost"`
+	ProbeCost      time.Duration `yaml:"probe_cost"`
 }
 
 // Deadline bounds the time that a request may take.
 type Deadline struct {
-	Default time.Duration
-	Max     time.Duration
+	Default time.Duration `yaml:"default"`
+	Max     time.Duration `yaml:"max"`
 }
 
 // IdempotentRule names methods that are idempotent, on some paths or on all.
 type IdempotentRule struct {
-	Methods []string
-	Paths   []string
+	Methods []string `yaml:"methods"`
+	Paths   []string `yaml:"paths"`
 }
 
 // ColdStart bounds the load of a backend server that just started.
 type ColdStart struct {
-	Limit int
-	Ramp  time.Duration
+	Limit int           `yaml:"limit"`
+	Ramp  time.Duration `yaml:"ramp"`
 }
 
 // DataCentres says which backend servers a service that is not divided by key prefers.
 type DataCentres struct {
-	Prefer string // "local" or "any"
+	Prefer string `yaml:"prefer"` // "local" or "any"
 }
 
 // Preference settles where availability and tail latency pull apart.
@@ -82,18 +82,18 @@
 
 // Expectation is a test of the routing that a team states in its file.
 type Expectation struct {
-	Request    RequestShape
-	Service    string // empty means that no service may match
-	Key        string
-	Idempotent *bool
+	Request    RequestShape `yaml:"request"`
+	Service    string       `yaml:"service"` // empty means that no service may match
+	Key        string       `yaml:"key"`
+	Idempotent *bool        `yaml:"idempotent"`
 	// Line is the line of the expectation in its file.
-	Line int
+	Line int `yaml:"-"`
 }
 
 // RequestShape is the part of a request that routing depends on.
 type RequestShape struct {
-	Method  string
-	Host    string
-	Path    string // may carry a query
-	Headers map[string]string
+	Method  string            `yaml:"method"`
+	Host    string            `yaml:"host"`
+	Path    string            `yaml:"path"` // may carry a query
+	Headers map[string]string `yaml:"headers"`
 }
--- /dev/null
+++ b/internal/service/match.go
@@ -0,0 +1,151 @@
+package service
+
+import (
+	pathpkg "path"
+	"strings"
+)
+
+// Matcher finds the service that a request belongs to. It is immutable and
+// safe for concurrent use.
+//
+// A file matches when one of its hosts is the request's host, or it lists no
+// hosts, and one of its path prefixes covers the path, or it lists none.
+// Prefixes cover whole segments: /a covers /a and /a/b but not /ab, and /a/
+// covers /a/ and /a/b. Files that list the host come before files that list no
+// hosts; among them the longest prefix wins.
+type Matcher struct {
+	byHost  map[string]map[string]*File // by host, "" for any, then by prefix
+	longest int
+}
+
+// NewMatcher returns a matcher over files. When two files claim the same host
+// and prefix, the earlier one wins; CheckSet refuses such sets.
+func NewMatcher(files []*File) *Matcher {
+	m := &Matcher{byHost: map[string]map[string]*File{}}
+	for _, f := range files {
+		for _, c := range f.claims() {
+			prefixes := m.byHost[c.host]
+			if prefixes == nil {
+				prefixes = map[string]*File{}
+				m.byHost[c.host] = prefixes
+			}
+			if prefixes[c.prefix] == nil {
+				prefixes[c.prefix] = f
+			}
+			m.longest = max(m.longest, len(c.prefix))
+		}
+	}
+	return m
+}
+
+// MatchRequest returns the file that a request to host and path belongs to and
+// the path prefix that matched, or nil. Use a Matcher to match many requests.
+func MatchRequest(files []*File, host, path string) (*File, string) {
+	return NewMatcher(files).Match(host, path)
+}
+
+// Match returns the file that a request to host and path belongs to and the
+// path prefix that matched, or nil. The path is the decoded path.
+func (m *Matcher) Match(host, path string) (*File, string) {
+	if f, prefix := m.matchPath(m.byHost[CanonicalHost(host)], path); f != nil {
+		return f, prefix
+	}
+	return m.matchPath(m.byHost[""], path)
+}
+
+// matchPath tries the prefixes of path from the longest to the shortest.
+func (m *Matcher) matchPath(prefixes map[string]*File, path string) (*File, string) {
+	if len(prefixes) == 0 {
+		return nil, ""
+	}
+	if len(path) <= m.longest {
+		if f := prefixes[path]; f != nil {
+			return f, path
+		}
+	}
+	for end := len(path); end > 0; {
+		end = strings.LastIndexByte(path[:end], '/')
+		if end < 0 {
+			break
+		}
+		if end >= m.longest+1 {
+			continue
+		}
+		if f := prefixes[path[:end+1]]; f != nil {
+			return f, path[:end+1]
+		}
+		if f := prefixes[path[:end]]; f != nil && end > 0 {
+			return f, path[:end]
+		}
+	}
+	return nil, ""
+}
+
+// claim is a pair of host and path prefix that a file matches.
+type claim struct{ host, prefix string }
+
+func (f *File) claims() []claim {
+	hosts, prefixes := f.Match.Hosts, f.Match.PathPrefixes
+	if len(hosts) == 0 {
+		hosts = []string{""}
+	}
+	if len(prefixes) == 0 {
+		prefixes = []string{"/"}
+	}
+	claims := make([]claim, 0, len(hosts)*len(prefixes))
+	for _, host := range hosts {
+		for _, prefix := range prefixes {
+			claims = append(claims, claim{host, prefix})
+		}
+	}
+	return claims
+}
+
+// CanonicalHost returns the host of a Host header in lower case, without port
+// and final dot. It does not allocate when the host is in lower case.
+func CanonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		if strings.IndexByte(host, ':') == i || strings.HasPrefix(host, "[") {
+			host = host[:i]
+		}
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// IsIdempotent reports whether the team states that a request may run more
+// than once. The path is the decoded path. A path with empty, . or .. segments
+// matches no rule that is bound to paths, because the backend server may
+// resolve it to a path outside the rule.
+func (f *File) IsIdempotent(method, path string) bool {
+	for _, rule := range f.Idempotent {
+		if rule.covers(method, path) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r IdempotentRule) covers(method, path string) bool {
+	named := false
+	for _, m := range r.Methods {
+		named = named || m == method
+	}
+	if !named || len(r.Paths) == 0 {
+		return named
+	}
+	if strings.TrimSuffix(pathpkg.Clean(path), "/") != strings.TrimSuffix(path, "/") {
+		return false
+	}
+	for _, prefix := range r.Paths {
+		if covers(prefix, path) {
+			return true
+		}
+	}
+	return false
+}
+
+// covers reports whether a path prefix covers whole segments of path.
+func covers(prefix, path string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/')
+}
