--- /dev/null
+++ b/cmd/agatestepd/main.go
@@ -0,0 +1,98 @@
+// Command agatestepd is the daemon that runs on each host of the system.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/daemon"
+	"github.com/agatestep/agatestep/internal/settings"
+)
+
+type root struct {
+	Run           runCmd   `cmd:"" help:"Run the daemon."`
+	CheckSettings checkCmd `cmd:"" name:"check-settings" help:"Check a settings file and report every mistake."`
+}
+
+type runCmd struct {
+	Settings string `required:"" help:"Settings file (YAML)."`
+}
+
+type checkCmd struct {
+	Settings string `arg:"" help:"Settings file (YAML)."`
+}
+
+// Run checks the file.
+func (c *checkCmd) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("settings of host %s are valid\n", s.Host)
+	return nil
+}
+
+// Run serves until a signal arrives. A second signal ends the process without
+// waiting for requests in flight.
+func (c *runCmd) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(s)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = logger.Sync() }()
+	d, err := daemon.New(s, logger)
+	if err != nil {
+		return err
+	}
+	ctx, hard := signalContexts()
+	return d.Run(ctx, hard)
+}
+
+func newLogger(s *settings.Settings) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	config.Encoding = s.Log.Format
+	config.DisableStacktrace = true
+	config.Sampling = nil
+	level, err := zap.ParseAtomicLevel(s.Log.Level)
+	if err != nil {
+		return nil, errors.Annotate(err, "log level")
+	}
+	config.Level = level
+	logger, err := config.Build()
+	return logger, errors.Annotate(err, "building the log")
+}
+
+func signalContexts() (soft, hard context.Context) {
+	soft, stop := context.WithCancel(context.Background())
+	hard, kill := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		kill()
+	}()
+	return soft, hard
+}
+
+func main() {
+	var r root
+	ctx := kong.Parse(&r, kong.Name("agatestepd"),
+		kong.Description("The daemon of agatestep, the router for servers that own keys exclusively."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "agatestepd:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/admin/explain.go
@@ -0,0 +1,86 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// Explain says where a request would go by a routing table, without sending it.
+func Explain(t *table.Table, request ExplainRequest) (*ExplainReply, error) {
+	r, err := request.httpRequest()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	reply := &ExplainReply{Revision: t.Revision}
+	svc, prefix, ok := t.Match(r.Host, r.URL.Path)
+	if !ok {
+		reply.Refusal = fmt.Sprintf("no service matches host %q and path %q", r.Host, r.URL.Path)
+		return reply, nil
+	}
+	reply.Service = svc.File.Service
+	reply.Idempotent = svc.File.IsIdempotent(r.Method, r.URL.Path)
+	if !svc.File.Keyed() {
+		explainMembers(t, svc.File.Service, reply)
+		return reply, nil
+	}
+	key, err := svc.File.KeyOf(r, prefix)
+	if err != nil {
+		reply.Refusal = err.Error()
+		return reply, nil
+	}
+	reply.Key = key
+	explainSlice(t, svc.File.Service, key, reply)
+	return reply, nil
+}
+
+func (e ExplainRequest) httpRequest() (*http.Request, error) {
+	if !strings.HasPrefix(e.Path, "/") {
+		return nil, errors.NotValidf("path %q, which must start with /,", e.Path)
+	}
+	u, err := url.ParseRequestURI(e.Path)
+	if err != nil {
+		return nil, errors.NewNotValid(err, "path")
+	}
+	method := e.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	r := &http.Request{Method: method, URL: u, Host: e.Host, Header: http.Header{}}
+	for name, value := range e.Headers {
+		r.Header.Set(name, value)
+	}
+	return r, nil
+}
+
+func explainMembers(t *table.Table, name string, reply *ExplainReply) {
+	for _, b := range t.Members(name) {
+		reply.Candidates = append(reply.Candidates, b.Name)
+	}
+	if len(reply.Candidates) == 0 {
+		reply.Refusal = fmt.Sprintf("service %q has no available backend server", name)
+	}
+}
+
+func explainSlice(t *table.Table, name, key string, reply *ExplainReply) {
+	slice, ok := t.Lookup(name, service.HashKey(key))
+	if !ok || slice.Owner == "" {
+		reply.Refusal = fmt.Sprintf("no backend server owns key %q", key)
+		return
+	}
+	reply.Slice = fmt.Sprintf("%016x", slice.Start)
+	reply.Owner = slice.Owner
+	reply.State = "owned"
+	if slice.State == table.SliceReleasing {
+		reply.State = "moving to " + slice.Next
+	}
+	if b, ok := t.Backend(name, slice.Owner); ok {
+		reply.Dispatcher = b.Dispatcher
+	}
+}
--- /dev/null
+++ b/internal/admin/types.go
@@ -0,0 +1,196 @@
+// Package admin is the administration API of a daemon: publishing service
+// files, taking data centres and backend servers out, explaining routes,
+// reading status and the time line, and repairing the control group.
+package admin
+
+import (
+	"context"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/timeline"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Daemon is what the API needs of the process that serves it.
+type Daemon interface {
+	// Operate brings an operator's command to the leader. A positive waitMs
+	// waits until the resulting revision is in force.
+	Operate(ctx context.Context, cmd *command.Command, waitMs int64) (wire.ProposalReply, error)
+	Table() *table.Table
+	Status() Status
+	// Timeline returns the events of this process.
+	Timeline(since timeline.Stamp) []timeline.Event
+	// TimelineAll merges the events of all processes and names those that did not answer.
+	TimelineAll(ctx context.Context, since timeline.Stamp) ([]timeline.Event, []string)
+	ReplicaIdentity() (ReplicaIdentity, error)
+	Bootstrap(request BootstrapRequest) error
+	ReplaceReplica(ctx context.Context, request ReplaceRequest) error
+}
+
+// Status describes one daemon and the state that it sees.
+type Status struct {
+	Host       string          `json:"host"`
+	DataCentre string          `json:"data_centre"`
+	Session    SessionStatus   `json:"session"`
+	Control    *ControlStatus  `json:"control,omitempty"`
+	Services   []ServiceStatus `json:"services"`
+	Backends   []BackendStatus `json:"backend_servers"`
+	Hosts      []HostStatus    `json:"hosts"`
+	// DataCentresOut are the data centres that operators have taken out.
+	DataCentresOut []string `json:"data_centres_out"`
+}
+
+// SessionStatus describes the session of the daemon with the control group.
+type SessionStatus struct {
+	Valid    bool   `json:"valid"`
+	LeftMs   int64  `json:"left_ms"`
+	Revision uint64 `json:"revision"`
+	Leader   string `json:"leader"`
+}
+
+// ControlStatus describes the control replica that runs in the daemon.
+type ControlStatus struct {
+	Replica string         `json:"replica"`
+	Group   string         `json:"group"`
+	Leader  string         `json:"leader"`
+	Term    uint64         `json:"term"`
+	Leading bool           `json:"leading"`
+	Applied uint64         `json:"applied"`
+	Members []MemberStatus `json:"members"`
+}
+
+// MemberStatus describes one member of the control group.
+type MemberStatus struct {
+	Replica string `json:"replica"`
+	Host    string `json:"host"`
+	Voter   bool   `json:"voter"`
+	Match   uint64 `json:"match,omitempty"`
+}
+
+// ServiceStatus describes one published service.
+type ServiceStatus struct {
+	Service  string `json:"service"`
+	Team     string `json:"team"`
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"revision"`
+	Keyed    bool   `json:"keyed"`
+	Slices   int    `json:"slices"`
+}
+
+// BackendStatus describes one backend server.
+type BackendStatus struct {
+	Service    string `json:"service"`
+	Backend    string `json:"backend_server"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	Dispatcher string `json:"dispatcher"`
+	Standby    string `json:"standby_dispatcher"`
+	Slices     int    `json:"slices"`
+	Lost       bool   `json:"lost"`
+	Out        bool   `json:"out"`
+}
+
+// HostStatus describes one entry host.
+type HostStatus struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Admin      string `json:"admin"`
+	Out        bool   `json:"out"`
+}
+
+// ReplicaIdentity identifies the control replica of a host by its data folder.
+type ReplicaIdentity struct {
+	Replica string `json:"replica"`
+	Host    string `json:"host"`
+	Group   string `json:"group"`
+	// Empty is set while the data folder holds no log: the replica is no member yet.
+	Empty bool `json:"empty"`
+}
+
+// BootstrapRequest makes a new control group out of empty replicas.
+type BootstrapRequest struct {
+	Group   string            `json:"group"`
+	Members []ReplicaIdentity `json:"members"`
+}
+
+// ReplaceRequest replaces a control replica by another. Old may be empty when
+// the group only gains a member.
+type ReplaceRequest struct {
+	Old string          `json:"old"`
+	New ReplicaIdentity `json:"new"`
+}
+
+// PublishRequest publishes service files.
+type PublishRequest struct {
+	RequestID string         `json:"request_id"`
+	Files     []command.File `json:"files"`
+	WaitMs    int64          `json:"wait_ms"`
+}
+
+// DrainRequest takes a data centre or a backend server out, or restores it.
+type DrainRequest struct {
+	RequestID string            `json:"request_id"`
+	Kind      command.DrainKind `json:"kind"`
+	Name      string            `json:"name"`
+	Out       bool              `json:"out"`
+	Version   uint64            `json:"version"`
+	WaitMs    int64             `json:"wait_ms"`
+}
+
+// OperateReply answers a command of an operator.
+type OperateReply struct {
+	Result  *command.Result `json:"result"`
+	InForce bool            `json:"in_force"`
+	Pending []string        `json:"pending,omitempty"`
+}
+
+// CheckRequest asks for a judgement of service files together with the published ones.
+type CheckRequest struct {
+	Files []command.File `json:"files"`
+}
+
+// CheckReply lists the problems found; none means that the files may be published.
+type CheckReply struct {
+	Problems []string `json:"problems"`
+}
+
+// ExplainRequest describes a request whose route is asked for; it is not sent.
+type ExplainRequest struct {
+	Method  string            `json:"method"`
+	Host    string            `json:"host"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers,omitempty"`
+}
+
+// ExplainReply says where a request would go.
+type ExplainReply struct {
+	Revision   uint64 `json:"revision"`
+	Service    string `json:"service"`
+	Idempotent bool   `json:"idempotent"`
+	Key        string `json:"key,omitempty"`
+	Slice      string `json:"slice,omitempty"`
+	State      string `json:"state,omitempty"`
+	Owner      string `json:"owner,omitempty"`
+	// Candidates are the backend servers of a service that is not divided by key.
+	Candidates []string `json:"candidates,omitempty"`
+	Dispatcher string   `json:"dispatcher,omitempty"`
+	// Refusal says why the request would be refused as not run.
+	Refusal string `json:"refusal,omitempty"`
+}
+
+// TimelineReply carries events.
+type TimelineReply struct {
+	Events []timeline.Event `json:"events"`
+	// Unreachable names the hosts whose events are missing.
+	Unreachable []string `json:"unreachable,omitempty"`
+}
+
+// ErrorReply is the body of every refusal.
+type ErrorReply struct {
+	Error string `json:"error"`
+	// Outcome is "not-run" when nothing changed and "may-have-run" when the
+	// command may have been applied; sending it again with the same request id is safe.
+	Outcome  string   `json:"outcome"`
+	Problems []string `json:"problems,omitempty"`
+}
--- /dev/null
+++ b/internal/cli/inspect.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/admin"
+)
+
+type statusCmd struct{}
+
+// Run shows the status.
+func (c *statusCmd) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	var status admin.Status
+	if err := client.Get(s.ctx, "/v1/status", &status); err != nil {
+		return err
+	}
+	return s.print(status, func(w io.Writer) { printStatus(w, status) })
+}
+
+func printStatus(w io.Writer, status admin.Status) {
+	fmt.Fprintf(w, "host %s in data centre %s: session valid %v, revision %d\n",
+		status.Host, status.DataCentre, status.Session.Valid, status.Session.Revision)
+	if c := status.Control; c != nil {
+		fmt.Fprintf(w, "control replica %s of group %q: leader %s, term %d, applied %d\n",
+			c.Replica, c.Group, c.Leader, c.Term, c.Applied)
+	}
+	if len(status.DataCentresOut) > 0 {
+		fmt.Fprintf(w, "data centres out: %s\n", strings.Join(status.DataCentresOut, ", "))
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintln(t, "\nSERVICE\tTEAM\tVERSION\tKEYED\tSLICES")
+	for _, v := range status.Services {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%v\t%d\n", v.Service, v.Team, v.Version, v.Keyed, v.Slices)
+	}
+	fmt.Fprintln(t, "\nBACKEND SERVER\tDATA CENTRE\tDISPATCHER\tSTANDBY\tSLICES\tSTATE")
+	for _, b := range status.Backends {
+		fmt.Fprintf(t, "%s/%s\t%s\t%s\t%s\t%d\t%s\n",
+			b.Service, b.Backend, b.DataCentre, b.Dispatcher, b.Standby, b.Slices, backendState(b))
+	}
+	fmt.Fprintln(t, "\nENTRY HOST\tDATA CENTRE\tADMIN\tOUT")
+	for _, h := range status.Hosts {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%v\n", h.Host, h.DataCentre, h.Admin, h.Out)
+	}
+}
+
+func backendState(b admin.BackendStatus) string {
+	switch {
+	case b.Lost:
+		return "lost"
+	case b.Out:
+		return "out"
+	default:
+		return "serving"
+	}
+}
+
+type explainCmd struct {
+	URL     string            `arg:"" help:"HOST/PATH of the request."`
+	Method  string            `help:"Method of the request." default:"GET"`
+	Headers map[string]string `help:"Headers of the request, as NAME=VALUE." short:"H"`
+}
+
+// Run asks for the route of a request.
+func (c *explainCmd) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	host, path, found := strings.Cut(c.URL, "/")
+	if !found {
+		return errors.WithType(errors.Errorf("%q must be HOST/PATH", c.URL), ErrRefused)
+	}
+	request := admin.ExplainRequest{Method: c.Method, Host: host, Path: "/" + path, Headers: c.Headers}
+	var reply admin.ExplainReply
+	if err := client.Post(s.ctx, "/v1/explain", request, &reply); err != nil {
+		return err
+	}
+	if err := s.print(reply, func(w io.Writer) { printRoute(w, reply) }); err != nil {
+		return err
+	}
+	if reply.Refusal != "" {
+		return errors.WithType(errors.Errorf("the request would be refused: %s", reply.Refusal), ErrRefused)
+	}
+	return nil
+}
+
+func printRoute(w io.Writer, r admin.ExplainReply) {
+	fmt.Fprintf(w, "service %s, idempotent %v, revision %d\n", r.Service, r.Idempotent, r.Revision)
+	if r.Owner != "" {
+		fmt.Fprintf(w, "key %s, slice %s (%s): backend server %s by dispatcher %s\n",
+			r.Key, r.Slice, r.State, r.Owner, r.Dispatcher)
+	}
+	if len(r.Candidates) > 0 {
+		fmt.Fprintf(w, "any of the backend servers %s\n", strings.Join(r.Candidates, ", "))
+	}
+}
+
+type timelineCmd struct {
+	Since uint64 `help:"Stamp after which events are shown."`
+}
+
+// Run shows the merged events.
+func (c *timelineCmd) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	var reply admin.TimelineReply
+	if err := client.Get(s.ctx, fmt.Sprintf("/v1/timeline?since=%d", c.Since), &reply); err != nil {
+		return err
+	}
+	return s.print(reply, func(w io.Writer) { printTimeline(w, reply) })
+}
+
+func printTimeline(w io.Writer, reply admin.TimelineReply) {
+	for _, e := range reply.Events {
+		fmt.Fprintf(w, "%s %d %-10s %-24s %s %s\n",
+			e.Stamp.Wall().UTC().Format(time.RFC3339Nano), uint64(e.Stamp), e.Host, e.Kind, e.Subject, e.Detail)
+	}
+	if len(reply.Unreachable) > 0 {
+		fmt.Fprintf(w, "missing, not reachable: %s\n", strings.Join(reply.Unreachable, ", "))
+	}
+}
--- /dev/null
+++ b/internal/cli/publish.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/service"
+)
+
+type checkCmd struct {
+	Dir string `arg:"" help:"Folder with service files (*.yaml)."`
+}
+
+// Run judges the files offline.
+func (c *checkCmd) Run(s *session) error {
+	files, err := readFiles(c.Dir)
+	if err != nil {
+		return err
+	}
+	set, problems := service.CheckSet(files)
+	if len(problems) > 0 {
+		return refuseProblems(s, problems)
+	}
+	reply := admin.CheckReply{Problems: []string{}}
+	return s.print(reply, func(w io.Writer) {
+		fmt.Fprintf(w, "%d service files are valid; all expectations hold\n", len(set.Files))
+	})
+}
+
+func refuseProblems(s *session, problems []service.Problem) error {
+	reply := admin.CheckReply{}
+	for _, p := range problems {
+		reply.Problems = append(reply.Problems, p.String())
+	}
+	err := s.print(reply, func(w io.Writer) {
+		for _, text := range reply.Problems {
+			fmt.Fprintln(w, text)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return errors.WithType(errors.Errorf("%d problems found; nothing was published", len(problems)), ErrRefused)
+}
+
+// readFiles reads the service files of a folder in a fixed order.
+func readFiles(dir string) ([]service.SourceFile, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.yaml"))
+	if err != nil {
+		return nil, errors.WithType(err, ErrRefused)
+	}
+	if len(paths) == 0 {
+		return nil, errors.WithType(errors.Errorf("folder %q has no service file (*.yaml)", dir), ErrRefused)
+	}
+	sort.Strings(paths)
+	var files []service.SourceFile
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.WithType(err, ErrRefused)
+		}
+		files = append(files, service.SourceFile{Name: filepath.Base(path), Content: string(content)})
+	}
+	return files, nil
+}
+
+// waitFlags say how long a command waits until its change is in force.
+type waitFlags struct {
+	Wait      time.Duration `help:"Time to wait until the change is in force everywhere; 0 does not wait." default:"10s"`
+	RequestID string        `help:"Identifier of this request; use the same one to send it again."`
+}
+
+func (w *waitFlags) id() string {
+	if w.RequestID == "" {
+		w.RequestID = newID()
+	}
+	return w.RequestID
+}
+
+type publishCmd struct {
+	Dir string `arg:"" help:"Folder with service files (*.yaml)."`
+	waitFlags
+}
+
+// Run checks the files offline and publishes them.
+func (c *publishCmd) Run(s *session) error {
+	files, err := readFiles(c.Dir)
+	if err != nil {
+		return err
+	}
+	if _, problems := service.CheckSet(files); len(problems) > 0 {
+		return refuseProblems(s, problems)
+	}
+	request := admin.PublishRequest{RequestID: c.id(), WaitMs: c.Wait.Milliseconds()}
+	for _, f := range files {
+		request.Files = append(request.Files, command.File{Name: f.Name, Content: f.Content})
+	}
+	return s.operate("/v1/publish", request, request.RequestID, c.Wait)
+}
+
+// operate sends a command, and tells under which id it may be sent again.
+func (s *session) operate(path string, request any, id string, wait time.Duration) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	var reply admin.OperateReply
+	if err := client.Post(s.ctx, path, request, &reply); err != nil {
+		return errors.Annotatef(err, "request %s", id)
+	}
+	if err := s.print(reply, func(w io.Writer) { printOperation(w, reply, id) }); err != nil {
+		return err
+	}
+	if wait > 0 && !reply.InForce {
+		return errors.WithType(errors.Errorf("committed at revision %d, but not in force within %s on: %v",
+			reply.Result.Revision, wait, reply.Pending), ErrNotInForce)
+	}
+	return nil
+}
+
+func printOperation(w io.Writer, reply admin.OperateReply, id string) {
+	state := "committed"
+	if reply.InForce {
+		state = "in force everywhere"
+	}
+	fmt.Fprintf(w, "request %s: revision %d, %s\n", id, reply.Result.Revision, state)
+	for _, name := range sortedKeys(reply.Result.Versions) {
+		fmt.Fprintf(w, "  %s version %d\n", name, reply.Result.Versions[name])
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// target names what is taken out or brought back.
+type target struct {
+	Kind    string `arg:"" enum:"data-centre,backend" help:"data-centre or backend."`
+	Name    string `arg:"" help:"Name of the data centre, or SERVICE/BACKEND."`
+	Version uint64 `help:"Version of the drain record that this command creates; 0 means the next one."`
+	waitFlags
+}
+
+func (t *target) run(s *session, out bool) error {
+	request := admin.DrainRequest{
+		RequestID: t.id(), Kind: command.DrainKind(t.Kind), Name: t.Name,
+		Out: out, Version: t.Version, WaitMs: t.Wait.Milliseconds(),
+	}
+	return s.operate("/v1/drains", request, request.RequestID, t.Wait)
+}
+
+type drainCmd struct{ target }
+
+// Run takes the target out.
+func (c *drainCmd) Run(s *session) error { return c.run(s, true) }
+
+type restoreCmd struct{ target }
+
+// Run brings the target back.
+func (c *restoreCmd) Run(s *session) error { return c.run(s, false) }
--- /dev/null
+++ b/internal/daemon/adminapi.go
@@ -0,0 +1,172 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/timeline"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+var _ admin.Daemon = (*Daemon)(nil)
+
+// Table returns the routing table of this host.
+func (d *Daemon) Table() *table.Table { return d.session.Table() }
+
+// Status describes this daemon and the state that it sees.
+func (d *Daemon) Status() admin.Status {
+	t := d.session.Table()
+	status := admin.Status{
+		Host: d.settings.Host, DataCentre: d.settings.DataCentre,
+		Session:        d.sessionStatus(t),
+		Services:       []admin.ServiceStatus{},
+		Backends:       []admin.BackendStatus{},
+		Hosts:          []admin.HostStatus{},
+		DataCentresOut: append([]string{}, t.Drained()...),
+	}
+	for _, h := range t.Hosts() {
+		status.Hosts = append(status.Hosts, admin.HostStatus{
+			Host: h.Name, DataCentre: h.DataCentre, Admin: h.AdminAddress, Out: h.Draining,
+		})
+	}
+	for _, s := range t.Services() {
+		status.Services = append(status.Services, admin.ServiceStatus{
+			Service: s.File.Service, Team: s.File.Team, Version: s.File.Version,
+			Revision: s.Revision, Keyed: s.File.Keyed(), Slices: t.SliceCount(s.File.Service),
+		})
+		status.Backends = append(status.Backends, backendStatuses(t, s.File.Service)...)
+	}
+	status.Control = d.controlStatus()
+	return status
+}
+
+func (d *Daemon) sessionStatus(t *table.Table) admin.SessionStatus {
+	left := d.session.ValidUntil().Sub(d.clock.Now())
+	return admin.SessionStatus{
+		Valid: left > 0, LeftMs: max(left, 0).Milliseconds(),
+		Revision: t.Revision(), Leader: d.session.Leader(),
+	}
+}
+
+func backendStatuses(t *table.Table, service string) []admin.BackendStatus {
+	var out []admin.BackendStatus
+	for _, b := range t.Backends(service) {
+		out = append(out, admin.BackendStatus{
+			Service: service, Backend: b.Name, DataCentre: b.DataCentre, Address: b.Address,
+			Dispatcher: b.Dispatcher, Standby: b.StandbyDispatcher,
+			Slices: len(t.SlicesOf(service, b.Name)), Lost: b.Lost, Out: b.Draining,
+		})
+	}
+	return out
+}
+
+func (d *Daemon) controlStatus() *admin.ControlStatus {
+	if d.replica == nil {
+		return nil
+	}
+	s := d.replica.node.Load().Status()
+	out := &admin.ControlStatus{
+		Replica: string(s.ID), Group: d.settings.Control.Group, Leader: string(s.Leader),
+		Term: s.Term, Leading: s.IsLeader, Applied: s.Applied, Members: []admin.MemberStatus{},
+	}
+	if s.Err != nil {
+		out.Error = s.Err.Error()
+	}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, admin.MemberStatus{
+			Replica: string(m.ID), Host: m.Host, Voter: m.Voter, Match: m.Match,
+		})
+	}
+	return out
+}
+
+// Timeline returns the events of this process.
+func (d *Daemon) Timeline(since timeline.Stamp) []timeline.Event { return d.events.Since(since) }
+
+// timelineReadTimeout bounds the read of one process, so that a lost host does
+// not hold up the answer.
+const timelineReadTimeout = time.Second
+
+// TimelineAll merges the events of all processes that the table knows.
+func (d *Daemon) TimelineAll(ctx context.Context, since timeline.Stamp) ([]timeline.Event, []string) {
+	hosts := d.session.Table().Hosts()
+	histories := make([][]timeline.Event, len(hosts)+1)
+	histories[len(hosts)] = d.events.Since(since)
+	failed := make([]bool, len(hosts))
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		if h.Name == d.settings.Host {
+			continue
+		}
+		wg.Go(func() {
+			events, err := d.readTimeline(ctx, h.PeerAddress, since)
+			histories[i], failed[i] = events, err != nil
+		})
+	}
+	wg.Wait()
+	var unreachable []string
+	for i, h := range hosts {
+		if failed[i] {
+			unreachable = append(unreachable, h.Name)
+		}
+	}
+	return timeline.Merge(histories...), unreachable
+}
+
+func (d *Daemon) readTimeline(ctx context.Context, address string, since timeline.Stamp) ([]timeline.Event, error) {
+	ctx, cancel := context.WithTimeout(ctx, timelineReadTimeout)
+	defer cancel()
+	var reply admin.TimelineReply
+	err := d.client.Call(ctx, address, wire.MethodTimelineRead, wire.TimelineRead{Since: uint64(since)}, &reply)
+	return reply.Events, errors.Trace(err)
+}
+
+// ReplicaIdentity identifies the control replica of this host.
+func (d *Daemon) ReplicaIdentity() (admin.ReplicaIdentity, error) {
+	if d.replica == nil {
+		return admin.ReplicaIdentity{}, errors.New(noReplica)
+	}
+	return d.replica.identity(), nil
+}
+
+// Bootstrap makes the empty replica of this host a founding member.
+func (d *Daemon) Bootstrap(request admin.BootstrapRequest) error {
+	if d.replica == nil {
+		return errors.NewNotValid(nil, noReplica)
+	}
+	if err := d.replica.bootstrap(request); err != nil {
+		return errors.Trace(err)
+	}
+	d.events.Record("bootstrapped", request.Group, "")
+	return nil
+}
+
+// ReplaceReplica has the leader replace a control replica. It may be repeated.
+func (d *Daemon) ReplaceReplica(ctx context.Context, request admin.ReplaceRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
+	defer cancel()
+	address, last := d.session.Leader(), ""
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		var reply wire.ReplaceReply
+		err := d.client.Call(ctx, address, wire.MethodReplace,
+			wire.ReplaceReplica{Old: request.Old, New: request.New.Replica}, &reply)
+		switch {
+		case err != nil:
+			last = err.Error()
+		case reply.Done:
+			return nil
+		case reply.Refused:
+			return errors.NewNotValid(nil, reply.Reason)
+		default:
+			last = reply.Reason
+		}
+		address = d.nextReplica(address, reply.Leader, attempt)
+		pause(ctx, memberChangePause)
+	}
+	return errors.Errorf("the replacement did not finish in time; it may be repeated (last answer: %s)", last)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,191 @@
+// Package daemon puts the parts of one process together: its listeners, its
+// session, its dispatcher, its entry for callers and, on hosts that the
+// settings name, its control replica.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/control"
+	"github.com/agatestep/agatestep/internal/dispatch"
+	"github.com/agatestep/agatestep/internal/entry"
+	"github.com/agatestep/agatestep/internal/peer"
+	"github.com/agatestep/agatestep/internal/session"
+	"github.com/agatestep/agatestep/internal/settings"
+	"github.com/agatestep/agatestep/internal/timeline"
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	settings *settings.Settings
+	logger   *zap.Logger
+	events   *timeline.Ring
+	clock    clock.Clock
+	instance string
+
+	serverTLS *tls.Config
+	clientTLS *tls.Config
+	client    *peer.Client // calls
+	logClient *peer.Client // messages of the replicated log
+	peers     *peer.Server
+
+	replicas []string          // peer addresses of the control replicas
+	byHost   map[string]string // peer address by host of a control replica
+
+	session    *session.Session
+	dispatcher *dispatch.Dispatcher
+	entry      *entry.Handler
+	replica    *replica        // nil on hosts without a control replica
+	leader     *control.Leader // nil on hosts without a control replica
+
+	listeners map[string]net.Listener
+	servers   []*http.Server
+	stopping  atomic.Bool
+	// background ends the loops; the control replica's loops end last.
+	background sync.WaitGroup
+	cancel     context.CancelFunc
+}
+
+// New puts a daemon together and opens its listeners and its data folder. It
+// serves nothing before Run.
+func New(cfg *settings.Settings, logger *zap.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: cfg, logger: logger, clock: clock.Real{}, instance: rand.Text(),
+		byHost: map[string]string{}, listeners: map[string]net.Listener{},
+	}
+	hlc := timeline.NewClock(d.clock.Now)
+	d.events = timeline.NewRing(cfg.Host, hlc, timeline.DefaultCapacity)
+	if err := d.loadTLS(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.client = peer.NewClient(hlc, d.clientTLS)
+	d.logClient = peer.NewClient(hlc, d.clientTLS)
+	d.peers = peer.NewServer(hlc)
+	for _, r := range cfg.Control.Replicas {
+		d.replicas = append(d.replicas, r.Peer)
+		d.byHost[r.Host] = r.Peer
+	}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, errors.Trace(err)
+	}
+	d.buildTraffic()
+	return d, nil
+}
+
+func (d *Daemon) loadTLS() error {
+	t := d.settings.TLS
+	if t.Mode != settings.TLSMutual {
+		return nil
+	}
+	var err error
+	d.serverTLS, d.clientTLS, err = peer.LoadTLS(peer.TLSFiles{CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile})
+	return errors.Trace(err)
+}
+
+// The listeners of a daemon.
+const (
+	listenTraffic  = "traffic"
+	listenBackends = "backends"
+	listenPeer     = "peer"
+	listenRelay    = "relay"
+	listenAdmin    = "admin"
+)
+
+func (d *Daemon) listen() error {
+	l := d.settings.Listen
+	addresses := map[string]string{
+		listenTraffic: l.Traffic, listenBackends: l.Backends, listenPeer: l.Peer,
+		listenRelay: l.Relay, listenAdmin: l.Admin,
+	}
+	for name, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Annotatef(err, "opening the %s listener", name)
+		}
+		d.listeners[name] = listener
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+}
+
+func (d *Daemon) buildTraffic() {
+	cfg := d.settings
+	d.session = session.New(session.Config{
+		Host: command.HostJoined{
+			Host: cfg.Host, DataCentre: cfg.DataCentre,
+			PeerAddress: cfg.Listen.Peer, RelayAddress: cfg.Listen.Relay,
+			BackendsAddress: cfg.Listen.Backends, AdminAddress: cfg.Listen.Admin,
+		},
+		Instance:      d.instance,
+		Replicas:      d.sessionReplicas(),
+		Caller:        d.client,
+		Clock:         d.clock,
+		Logger:        d.logger,
+		RenewInterval: cfg.Timing.RenewInterval,
+		CallTimeout:   cfg.Timing.RenewInterval + cfg.Timing.RenewInterval/2,
+		WatchPoll:     cfg.Timing.WatchPoll,
+		Loads:         func() []wireLoads { return d.dispatcher.Loads() },
+		OnTable:       d.tableChanged,
+		Record:        d.events.Record,
+	})
+	d.dispatcher = dispatch.New(d.dispatchConfig())
+	d.entry = entry.New(entry.Config{
+		Host: cfg.Host, DataCentre: cfg.DataCentre,
+		Tables: d.session.Table, SessionValidUntil: d.session.ValidUntil,
+		Dispatcher: d.dispatcher, Clock: d.clock, Logger: d.logger,
+		Limits: entry.Limits{
+			HeaderBytes: cfg.Limits.HeaderBytes, BodyBytes: cfg.Limits.BodyBytes,
+			InFlight: cfg.Limits.InFlight,
+		},
+		Counters: counters.entry,
+		RelayTLS: d.clientTLS,
+	})
+}
+
+func (d *Daemon) sessionReplicas() []session.Replica {
+	var out []session.Replica
+	for _, r := range d.settings.Control.Replicas {
+		out = append(out, session.Replica{Host: r.Host, Address: r.Peer})
+	}
+	return out
+}
+
+func (d *Daemon) dispatchConfig() dispatch.Config {
+	cfg := d.settings
+	return dispatch.Config{
+		Host: cfg.Host, Tables: d.session.Table, SessionValidUntil: d.session.ValidUntil,
+		Propose: d.propose, RelayAnnounce: d.relayAnnounce,
+		Clock: d.clock, Logger: d.logger, Record: d.events.Record,
+		BackendLeaseTTL: cfg.Timing.BackendLeaseTTL, AnnounceInterval: cfg.Timing.AnnounceInterval,
+		MaxClockDrift: cfg.Timing.MaxClockDrift,
+		QueueLen:      cfg.Limits.QueuePerBackend, MaxBodyBytes: cfg.Limits.BodyBytes,
+	}
+}
+
+func (d *Daemon) tableChanged(t *routingTable) {
+	d.dispatcher.TableChanged(t)
+	counters.revision.Set(int64(t.Revision()))
+}
+
+// isReplica reports whether the settings name this host as a control replica.
+func (d *Daemon) isReplica() bool {
+	_, ok := d.byHost[d.settings.Host]
+	return ok
+}
--- /dev/null
+++ b/internal/daemon/replica.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/control"
+	"github.com/agatestep/agatestep/internal/logstore"
+	"github.com/agatestep/agatestep/internal/replication"
+)
+
+// replica is the control replica of a host: its disk, its log and the state
+// that the log is applied to.
+type replica struct {
+	store  *logstore.Store
+	state  *control.State
+	config replication.Config
+
+	mu   sync.Mutex // serialises bootstrap and stop
+	node atomic.Pointer[replication.Node]
+}
+
+// openReplica opens the data folder and starts the log. On an empty folder the
+// replica stays passive until it is made a member.
+func openReplica(folder, group, host string, config replication.Config, state *control.State) (*replica, error) {
+	store, err := logstore.Open(folder, logstore.Options{Group: group, Host: host})
+	if err != nil {
+		return nil, errors.Annotate(err, "opening the data folder")
+	}
+	config.GroupID = group
+	config.Host = host
+	config.ID = store.Identity().ID()
+	config.Storage = store
+	config.StateMachine = state
+	r := &replica{store: store, state: state, config: config}
+	if err := r.start(); err != nil {
+		_ = store.Close()
+		return nil, errors.Trace(err)
+	}
+	return r, nil
+}
+
+func (r *replica) start() error {
+	node, err := replication.Start(r.config)
+	if err != nil {
+		return errors.Annotate(err, "starting the control replica")
+	}
+	r.node.Store(node)
+	return nil
+}
+
+func (r *replica) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.node.Load().Stop()
+	_ = r.store.Close()
+}
+
+// Propose implements control.Proposer.
+func (r *replica) Propose(ctx context.Context, data []byte) (uint64, []byte, error) {
+	return r.node.Load().Propose(ctx, data)
+}
+
+// Status implements control.Proposer.
+func (r *replica) Status() control.LeaderStatus {
+	s := r.node.Load().Status()
+	return control.LeaderStatus{
+		IsLeader:   s.IsLeader,
+		LeaderHost: s.Leader.Host(),
+		Term:       s.Term,
+		LeaseUntil: s.LeaseUntil,
+		ElectedAt:  s.ElectedAt,
+	}
+}
+
+func (r *replica) identity() admin.ReplicaIdentity {
+	id := r.store.Identity()
+	return admin.ReplicaIdentity{
+		Replica: string(id.ID()), Host: id.Host, Group: id.Group,
+		Empty: len(r.node.Load().Status().Members) == 0,
+	}
+}
+
+// bootstrap makes the empty replica a founding member. On a replica that
+// already has exactly these members it changes nothing.
+func (r *replica) bootstrap(request admin.BootstrapRequest) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	members, err := r.foundingMembers(request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if current := r.node.Load().Status().Members; len(current) > 0 {
+		return sameMembers(current, members)
+	}
+	r.node.Load().Stop()
+	bootstrapErr := replication.Bootstrap(r.store, request.Group, members)
+	if err := r.start(); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Annotate(bootstrapErr, "bootstrap")
+}
+
+func (r *replica) foundingMembers(request admin.BootstrapRequest) ([]replication.Member, error) {
+	if request.Group != r.store.Identity().Group {
+		return nil, errors.NotValidf("group %q, where this replica's settings name %q,", request.Group, r.store.Identity().Group)
+	}
+	var members []replication.Member
+	for _, m := range request.Members {
+		members = append(members, replication.Member{ID: replication.ReplicaID(m.Replica), Voter: true})
+	}
+	return members, nil
+}
+
+func sameMembers(current []replication.MemberStatus, wanted []replication.Member) error {
+	for _, m := range wanted {
+		if !slices.ContainsFunc(current, func(c replication.MemberStatus) bool { return c.ID == m.ID }) {
+			return errors.NotValidf("member %q: this replica already belongs to a group without it, and", m.ID)
+		}
+	}
+	if len(current) != len(wanted) {
+		return errors.NotValidf("list of %d members, where the group has %d,", len(wanted), len(current))
+	}
+	return nil
+}
+
+// Bounds of a membership change.
+const (
+	memberChangePause   = 100 * time.Millisecond
+	memberChangeTimeout = 60 * time.Second
+)
+
+// replace admits a new replica, waits until it holds the log, makes it a voter
+// and only then removes the old one. Each step is skipped when it is done
+// already, so that the whole may be repeated.
+func (r *replica) replace(ctx context.Context, request admin.ReplaceRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
+	defer cancel()
+	fresh, old := replication.ReplicaID(request.New.Replica), replication.ReplicaID(request.Old)
+	if err := r.checkReplace(fresh, old); err != nil {
+		return errors.Trace(err)
+	}
+	if _, known := r.member(fresh); !known {
+		if err := r.change(ctx, func(n *replication.Node) error { return n.AddLearner(ctx, fresh) }); err != nil {
+			return errors.Annotatef(err, "admitting learner %s", fresh)
+		}
+	}
+	if m, _ := r.member(fresh); !m.Voter {
+		if err := r.change(ctx, func(n *replication.Node) error { return n.Promote(ctx, fresh) }); err != nil {
+			return errors.Annotatef(err, "promoting learner %s", fresh)
+		}
+	}
+	if _, known := r.member(old); old != "" && known {
+		if err := r.change(ctx, func(n *replication.Node) error { return n.Remove(ctx, old) }); err != nil {
+			return errors.Annotatef(err, "removing replica %s", old)
+		}
+	}
+	return nil
+}
+
+func (r *replica) checkReplace(fresh, old replication.ReplicaID) error {
+	if _, known := r.member(fresh); fresh == "" || (!known && fresh.Host() == string(fresh)) {
+		return errors.NotValidf("new replica %q, which must be HOST/INCARNATION,", fresh)
+	}
+	if fresh == old {
+		return errors.NotValidf("replacement of %q by itself", old)
+	}
+	return nil
+}
+
+func (r *replica) member(id replication.ReplicaID) (replication.MemberStatus, bool) {
+	for _, m := range r.node.Load().Status().Members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return replication.MemberStatus{}, false
+}
+
+// change tries a membership change until it is committed; changes that may be
+// tried again are those refused because the learner or an earlier change lags.
+func (r *replica) change(ctx context.Context, try func(*replication.Node) error) error {
+	for {
+		err := try(r.node.Load())
+		retry := errors.Is(err, replication.ErrNotCaughtUp) || errors.Is(err, replication.ErrChangeInProgress) ||
+			errors.Is(err, replication.ErrQuorumAtRisk) || errors.Is(err, replication.ErrProposalDropped)
+		if err == nil || !retry {
+			return err
+		}
+		pause(ctx, memberChangePause)
+		if ctx.Err() != nil {
+			return errors.Annotate(err, "gave up waiting")
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// headerReadTimeout bounds the time that a connection may take to send its headers.
+const headerReadTimeout = 10 * time.Second
+
+// idleTimeout closes kept connections of callers that send nothing.
+const idleTimeout = 2 * time.Minute
+
+// Run serves until ctx ends, then stops gracefully: it takes no new work, hands
+// its roles on and finishes the requests in flight. It returns when all is done
+// or when hard ends, or after the settings' bound on a stop.
+func (d *Daemon) Run(ctx, hard context.Context) error {
+	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	d.cancel = cancel
+	if err := d.startControl(loops); err != nil {
+		d.closeListeners()
+		return errors.Trace(err)
+	}
+	d.registerMethods()
+	if err := d.serve(); err != nil {
+		d.closeListeners()
+		return errors.Trace(err)
+	}
+	d.background.Go(func() { d.session.Run(loops) })
+	d.background.Go(func() { d.dispatcher.Run(loops) })
+	d.logger.Info("started", zap.String("host", d.settings.Host), zap.String("data_centre", d.settings.DataCentre))
+	d.events.Record("started", d.settings.Host, "")
+	<-ctx.Done()
+	return d.shutdown(hard)
+}
+
+func (d *Daemon) serve() error {
+	token, err := d.adminToken()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go func() { _ = d.peers.Serve(d.listeners[listenPeer], d.serverTLS) }()
+	backends := http.NewServeMux()
+	backends.Handle(wire.AnnouncePath, d.dispatcher.AnnounceHandler())
+	d.serveHTTP(listenTraffic, d.entry, nil)
+	d.serveHTTP(listenBackends, backends, nil)
+	d.serveHTTP(listenRelay, d.dispatcher.RelayHandler(), d.serverTLS)
+	d.serveHTTP(listenAdmin, admin.NewHandler(d, token), d.serverTLS)
+	return nil
+}
+
+func (d *Daemon) adminToken() (string, error) {
+	if d.settings.Admin.TokenFile == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(d.settings.Admin.TokenFile)
+	if err != nil {
+		return "", errors.Annotate(err, "reading the administration token")
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", errors.Errorf("administration token file %q is empty", d.settings.Admin.TokenFile)
+	}
+	return token, nil
+}
+
+func (d *Daemon) serveHTTP(name string, handler http.Handler, config *tls.Config) {
+	var listener net.Listener = netutil.LimitListener(d.listeners[name], d.settings.Limits.Connections)
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
+		ErrorLog:          zap.NewStdLog(d.logger),
+	}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
+// shutdown stops in the order that loses nothing: no new callers, then the
+// session and with it the dispatcher roles, then the requests in flight, and
+// the control replica last, because the hand-over needs it.
+func (d *Daemon) shutdown(hard context.Context) error {
+	d.stopping.Store(true)
+	d.logger.Info("stopping")
+	d.events.Record("stopping", d.settings.Host, "")
+	ctx, cancel := context.WithTimeout(hard, d.settings.Shutdown.Timeout)
+	defer cancel()
+	entryDone := make(chan error, 1)
+	d.entry.BeginShutdown()
+	go func() { entryDone <- d.entry.Shutdown(ctx) }()
+	closeErr := d.session.Close(ctx)
+	if closeErr != nil {
+		d.logger.Warn("session not handed over; the standby dispatchers take over when it expires", zap.Error(closeErr))
+	}
+	err := errors.Annotate(<-entryDone, "requests of callers")
+	if drained := d.dispatcher.Shutdown(ctx); err == nil {
+		err = errors.Annotate(drained, "requests at backend servers")
+	}
+	d.stopControl(ctx)
+	d.stopServers(ctx)
+	d.logger.Info("stopped", zap.Error(err))
+	return err
+}
+
+func (d *Daemon) stopControl(ctx context.Context) {
+	if d.replica == nil {
+		return
+	}
+	d.handLeadershipOn(ctx)
+	d.cancel()
+	d.background.Wait()
+	d.replica.stop()
+}
+
+// handLeadershipOn transfers leadership to the first voter that takes it.
+func (d *Daemon) handLeadershipOn(ctx context.Context) {
+	node := d.replica.node.Load()
+	status := node.Status()
+	if !status.IsLeader {
+		return
+	}
+	for _, m := range status.Members {
+		if !m.Voter || m.ID == status.ID {
+			continue
+		}
+		if err := node.TransferLeadership(ctx, m.ID); err == nil {
+			return
+		}
+	}
+	d.logger.Warn("no replica took the leadership over")
+}
+
+func (d *Daemon) stopServers(ctx context.Context) {
+	d.cancel()
+	for _, server := range d.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	}
+	d.closeListeners()
+	d.peers.Close()
+	d.client.Close()
+	d.logClient.Close()
+	d.background.Wait()
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/agatestep/agatestep/internal/timeline"
+)
+
+// dialTimeout bounds the opening of a connection, so that a lost host costs a
+// caller less than one renewal interval of its session.
+const dialTimeout = 150 * time.Millisecond
+
+// handshakeTimeout bounds the TLS handshake on a new connection.
+const handshakeTimeout = 300 * time.Millisecond
+
+// Client calls other daemons over one kept connection an address. It is safe
+// for concurrent use.
+type Client struct {
+	clock  *timeline.Clock
+	config *tls.Config
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+// NewClient returns a client; a nil TLS configuration means plain TCP.
+func NewClient(clock *timeline.Clock, config *tls.Config) *Client {
+	return &Client{clock: clock, config: config, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Call calls a method at an address and waits for its result.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	in, err := seal(c.clock, params)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var out envelope
+	if err := conn.Call(ctx, method, in, &out); err != nil {
+		c.dropOnTransportError(address, conn, err)
+		return errors.Annotatef(err, "calling %s at %s", method, address)
+	}
+	c.clock.Observe(timeline.Stamp(out.Clock))
+	return errors.Trace(json.Unmarshal(out.Body, result))
+}
+
+// Notify sends a notification to an address.
+func (c *Client) Notify(ctx context.Context, address, method string, params any) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	in, err := seal(c.clock, params)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := conn.Notify(ctx, method, in); err != nil {
+		c.drop(address, conn)
+		return errors.Trace(err)
+	}
+	return nil
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok && !disconnected(conn) {
+		return conn, nil
+	}
+	fresh, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "connecting to %s", address)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, ok := c.conns[address]; ok && !disconnected(other) {
+		_ = fresh.Close()
+		return other, nil
+	}
+	c.conns[address] = fresh
+	return fresh, nil
+}
+
+func disconnected(conn *jsonrpc2.Conn) bool {
+	select {
+	case <-conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := setUserTimeout(raw); err != nil {
+		_ = raw.Close()
+		return nil, errors.Trace(err)
+	}
+	if c.config != nil {
+		raw, err = c.secure(ctx, raw, address)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	stream := jsonrpc2.NewBufferedStream(raw, lengthCodec{})
+	return jsonrpc2.NewConn(context.Background(), stream, handlerFunc(refuse)), nil
+}
+
+func (c *Client) secure(ctx context.Context, raw net.Conn, address string) (net.Conn, error) {
+	config := c.config.Clone()
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	config.ServerName = host
+	secured := tls.Client(raw, config)
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, errors.Trace(err)
+	}
+	return secured, nil
+}
+
+// refuse answers calls that arrive on an outgoing connection; only the side
+// that accepted a connection serves methods.
+func refuse(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Notif {
+		return
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
+		Code: jsonrpc2.CodeMethodNotFound, Message: "this side serves no methods",
+	})
+}
+
+// dropOnTransportError closes the connection unless the other side answered.
+// After a call that ran out of time the connection may be cut silently, so the
+// next call must open a new one instead of waiting on it again.
+func (c *Client) dropOnTransportError(address string, conn *jsonrpc2.Conn, err error) {
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return
+	}
+	c.drop(address, conn)
+}
+
+func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,61 @@
+// Package peer carries the typed messages of package wire between daemons as
+// jsonrpc2 over TCP, with mutual TLS when the settings ask for it.
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// MaxMessageBytes bounds one message in either direction. A snapshot of the
+// routing table is the largest message; 460,000 slices take some 20 MB.
+const MaxMessageBytes = 64 << 20
+
+// ErrMessageTooLarge reports a message over MaxMessageBytes.
+var ErrMessageTooLarge = errors.New("message exceeds the size limit")
+
+// lengthCodec writes each JSON object behind its length as an unsigned varint.
+type lengthCodec struct{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (lengthCodec) WriteObject(stream io.Writer, obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if len(data) > MaxMessageBytes {
+		return errors.Trace(ErrMessageTooLarge)
+	}
+	frame := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(data)), uint64(len(data)))
+	_, err = stream.Write(append(frame, data...))
+	return errors.Trace(err)
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (lengthCodec) ReadObject(stream *bufio.Reader, v any) error {
+	length, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err // io.EOF must stay recognisable to the connection
+	}
+	if length > MaxMessageBytes {
+		return errors.Trace(ErrMessageTooLarge)
+	}
+	data, err := io.ReadAll(io.LimitReader(stream, int64(length)))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if uint64(len(data)) < length {
+		return io.ErrUnexpectedEOF
+	}
+	return errors.Trace(json.Unmarshal(data, v))
+}
+
+// envelope wraps each message with the sender's hybrid logical clock.
+type envelope struct {
+	Clock uint64          `json:"clock"`
+	Body  json.RawMessage `json:"body"`
+}
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,228 @@
+// Package session is an entry host's side of its lease with the control group:
+// it renews the session, follows the routing table and says until when that
+// table may be used.
+package session
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Caller calls a method of another daemon.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
+// Replica is a host with a control replica.
+type Replica struct {
+	Host    string
+	Address string // IP:port of its peer listener
+}
+
+// Config is what a session needs.
+type Config struct {
+	Host     command.HostJoined
+	Instance string
+	// Replicas are the control replicas.
+	Replicas      []Replica
+	Caller        Caller
+	Clock         clock.Clock
+	Logger        *zap.Logger
+	RenewInterval time.Duration
+	// CallTimeout bounds one renewal, so that a silent replica does not use up the session.
+	CallTimeout time.Duration
+	WatchPoll   time.Duration
+	// Loads returns the load to report with a renewal; it may be nil.
+	Loads func() []wire.SliceLoads
+	// OnTable is called after each change of the routing table; it may be nil.
+	OnTable func(*table.Table)
+	Record  func(kind, subject, detail string)
+}
+
+// Session is the lease of one entry host. Its readers never block.
+type Session struct {
+	cfg    Config
+	leader *leaderHint
+
+	table atomic.Pointer[table.Table]
+	lease atomic.Pointer[lease]
+	// renewing keeps renewals in sequence.
+	renewing sync.Mutex
+	lastLoad time.Time
+	closing  atomic.Bool
+	changed  chan struct{}
+}
+
+// lease is one state of the session, replaced as a whole.
+type lease struct {
+	until time.Time
+	// floor is the lowest table revision that may be routed by: the revision of
+	// the leader when the session was opened or opened again after a lapse.
+	floor uint64
+}
+
+// New returns a session that holds no lease yet.
+func New(cfg Config) *Session {
+	s := &Session{cfg: cfg, leader: newLeaderHint(cfg.Replicas), changed: make(chan struct{}, 1)}
+	s.table.Store(table.Empty())
+	s.lease.Store(&lease{})
+	return s
+}
+
+// Table returns the current routing table. It may be used only until ValidUntil.
+func (s *Session) Table() *table.Table { return s.table.Load() }
+
+// ValidUntil returns the end of the session on the local clock. It is the zero
+// time while the table is older than the session.
+func (s *Session) ValidUntil() time.Time {
+	l := s.lease.Load()
+	if s.table.Load().Revision() < l.floor {
+		return time.Time{}
+	}
+	return l.until
+}
+
+// Valid reports whether the table may be used now.
+func (s *Session) Valid() bool { return s.cfg.Clock.Now().Before(s.ValidUntil()) }
+
+// Leader returns the peer address at which the leader was last seen.
+func (s *Session) Leader() string { return s.leader.get() }
+
+// Run renews the session and follows the table until ctx ends.
+func (s *Session) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		s.watchLoop(ctx)
+	}()
+	s.renewLoop(ctx)
+	wg.Wait()
+}
+
+func (s *Session) renewLoop(ctx context.Context) {
+	ticker := time.NewTicker(s.cfg.RenewInterval)
+	defer ticker.Stop()
+	wasValid := false
+	for {
+		_ = s.Renew(ctx)
+		if valid := s.Valid(); valid != wasValid {
+			wasValid = valid
+			s.reportChange(valid)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.changed: // acknowledge a new revision at once
+		}
+	}
+}
+
+func (s *Session) reportChange(valid bool) {
+	kind := "session-lost"
+	if valid {
+		kind = "session-valid"
+	}
+	s.cfg.Logger.Info("session changed", zap.Bool("valid", valid), zap.Uint64("revision", s.Table().Revision()))
+	s.cfg.Record(kind, s.cfg.Host.Host, "")
+}
+
+// Renew renews the session once, asking each replica in turn until one grants it.
+func (s *Session) Renew(ctx context.Context) error {
+	s.renewing.Lock()
+	defer s.renewing.Unlock()
+	if s.closing.Load() {
+		return errors.New("session is closing")
+	}
+	request := s.request()
+	var last error
+	for range s.leader.attempts() {
+		address := s.leader.get()
+		sent := s.cfg.Clock.Now()
+		reply, err := s.call(ctx, address, request)
+		if err == nil && reply.Granted {
+			s.extend(sent, reply)
+			return nil
+		}
+		if err == nil {
+			err = errors.Errorf("%s: %s", address, reply.Reason)
+		}
+		last = err
+		s.leader.advance(address, reply.Leader)
+	}
+	return errors.Annotate(last, "no control replica renewed the session")
+}
+
+func (s *Session) request() wire.SessionRenew {
+	request := wire.SessionRenew{
+		Host:     s.cfg.Host,
+		Instance: s.cfg.Instance,
+		Applied:  s.Table().Revision(),
+	}
+	now := s.cfg.Clock.Now()
+	if s.cfg.Loads != nil && now.Sub(s.lastLoad) >= loadReportInterval {
+		request.Loads = s.cfg.Loads()
+		s.lastLoad = now
+	}
+	return request
+}
+
+// loadReportInterval is longer than the renewal interval because placement
+// decides over seconds and reports carry a count for each active slice.
+const loadReportInterval = time.Second
+
+func (s *Session) call(ctx context.Context, address string, request wire.SessionRenew) (wire.SessionReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	var reply wire.SessionReply
+	err := s.cfg.Caller.Call(ctx, address, wire.MethodSessionRenew, request, &reply)
+	return reply, err
+}
+
+// extend counts the lease from when the renewal was sent. A session that
+// lapsed before the answer came may have been counted as expired by the leader,
+// which then confirms revisions without this host; so the table must first
+// reach the leader's revision.
+func (s *Session) extend(sent time.Time, reply wire.SessionReply) {
+	old := s.lease.Load()
+	next := &lease{until: sent.Add(time.Duration(reply.TTLMs) * time.Millisecond), floor: old.floor}
+	if !s.cfg.Clock.Now().Before(old.until) {
+		next.floor = max(next.floor, reply.Revision)
+	}
+	s.lease.Store(next)
+}
+
+// Close ends the session in an orderly way: the lease is given up first, so
+// that this host routes nothing more when the leader hands its roles on.
+func (s *Session) Close(ctx context.Context) error {
+	s.closing.Store(true)
+	s.renewing.Lock()
+	defer s.renewing.Unlock()
+	s.lease.Store(&lease{floor: s.lease.Load().floor})
+	request := wire.SessionRenew{Host: s.cfg.Host, Instance: s.cfg.Instance, Closing: true}
+	var last error
+	for range s.leader.attempts() {
+		address := s.leader.get()
+		reply, err := s.call(ctx, address, request)
+		if err == nil && reply.Closed {
+			return nil
+		}
+		if err == nil {
+			err = errors.Errorf("%s: %s", address, reply.Reason)
+		}
+		last = err
+		s.leader.advance(address, reply.Leader)
+	}
+	return errors.Annotate(last, "closing the session")
+}
--- /dev/null
+++ b/internal/session/watch.go
@@ -0,0 +1,117 @@
+package session
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// watchRetryPause keeps a host from asking in a tight loop while no replica leads.
+const watchRetryPause = 50 * time.Millisecond
+
+func (s *Session) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := s.Watch(ctx); err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(watchRetryPause):
+			}
+		}
+	}
+}
+
+// Watch asks the leader once for changes after the current revision and applies them.
+func (s *Session) Watch(ctx context.Context) error {
+	address := s.leader.get()
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.cfg.CallTimeout)
+	defer cancel()
+	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision()}
+	var reply wire.TableReply
+	if err := s.cfg.Caller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
+		s.leader.advance(address, "")
+		return errors.Trace(err)
+	}
+	if reply.Reason != "" {
+		s.leader.advance(address, reply.Leader)
+		return errors.Errorf("%s: %s", address, reply.Reason)
+	}
+	return s.apply(reply)
+}
+
+func (s *Session) apply(reply wire.TableReply) error {
+	current := s.Table()
+	next, err := nextTable(current, reply)
+	if err != nil {
+		s.cfg.Logger.Warn("routing table update refused", zap.Error(err))
+		return errors.Trace(err)
+	}
+	if next.Revision() <= current.Revision() {
+		return nil
+	}
+	s.table.Store(next)
+	if s.cfg.OnTable != nil {
+		s.cfg.OnTable(next)
+	}
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// nextTable never goes back: a revision lower than the current one is ignored.
+func nextTable(current *table.Table, reply wire.TableReply) (*table.Table, error) {
+	switch {
+	case len(reply.Snapshot) > 0:
+		return table.DecodeSnapshot(reply.Snapshot)
+	case len(reply.Delta) > 0:
+		delta, err := table.DecodeDelta(reply.Delta)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return current.Apply(delta)
+	default:
+		return current, nil
+	}
+}
+
+// leaderHint remembers where the leader was last seen.
+type leaderHint struct {
+	mu       sync.Mutex
+	replicas []Replica
+	current  int
+}
+
+func newLeaderHint(replicas []Replica) *leaderHint { return &leaderHint{replicas: replicas} }
+
+func (h *leaderHint) get() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.replicas[h.current].Address
+}
+
+// attempts allows each replica once and one hint on top.
+func (h *leaderHint) attempts() int { return len(h.replicas) + 1 }
+
+// advance moves on from a replica that did not answer as leader, to the host
+// that it named as leader or to the next one. A replica that refuses but names
+// itself leads, and stays the current one.
+func (h *leaderHint) advance(from, leaderHost string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.replicas[h.current].Address != from {
+		return // another caller moved on already
+	}
+	at := slices.IndexFunc(h.replicas, func(r Replica) bool { return r.Host == leaderHost })
+	if at < 0 {
+		at = (h.current + 1) % len(h.replicas)
+	}
+	h.current = at
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -11,7 +11,7 @@
 	MethodOperate         = "control.operate"  // Proposal -> ProposalReply
 	MethodAnnounce        = "backend.announce" // Announcement -> AnnounceReply
 	MethodTimelineRead    = "timeline.read"    // TimelineRead -> TimelineReply
-	MethodStatusRead      = "status.read"
+	MethodReplace         = "control.replace" // ReplaceReplica -> ReplaceReply
 )
 
 // ReplicationStep carries one encoded message of the replicated log.
@@ -57,12 +57,33 @@
 type SessionReply struct {
 	Granted bool   `json:"granted"`
 	TTLMs   int64  `json:"ttl_ms"`
-	Leader  string `json:"leader,omitempty"` // where to renew when not granted
+	Closed  bool   `json:"closed,omitempty"` // answers a renewal with Closing
+	Leader  string `json:"leader,omitempty"` // host to renew with when not granted
 	Reason  string `json:"reason,omitempty"`
 	// Revision is the revision of the leader's state.
 	Revision uint64 `json:"revision"`
 }
 
+// ReplaceReplica asks the leader to replace a control replica.
+type ReplaceReplica struct {
+	Old string `json:"old"`
+	New string `json:"new"`
+}
+
+// ReplaceReply answers ReplaceReplica.
+type ReplaceReply struct {
+	Done   bool   `json:"done"`
+	Leader string `json:"leader,omitempty"` // host to ask when this replica does not lead
+	Reason string `json:"reason,omitempty"`
+	// Refused means that a rule refused the replacement; nothing changed.
+	Refused bool `json:"refused,omitempty"`
+}
+
+// TimelineRead asks for the events of one process after a stamp.
+type TimelineRead struct {
+	Since uint64 `json:"since"`
+}
+
 // TableWatch asks for the changes after Revision; the reply may take up to the poll time.
 type TableWatch struct {
 	Host     string `json:"host"`
