--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -3,6 +3,8 @@
 package command
 
 import (
+	"bytes"
+
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -18,12 +20,23 @@
 	Split            *Split            `msgpack:",omitempty"`
 	Publish          *Publish          `msgpack:",omitempty"`
 	Drain            *Drain            `msgpack:",omitempty"`
+	LeaderElected    *LeaderElected    `msgpack:",omitempty"`
+}
+
+// LeaderElected is the first command of a new leader. It makes sure that the
+// leader's state holds all commands of earlier terms, and that a HostLost that an
+// earlier leader decided on has no effect any more.
+type LeaderElected struct {
+	Term uint64
+	Host string
 }
 
 // HostJoined records an entry host that opened a session.
 type HostJoined struct {
 	Host       string
 	DataCentre string
+	// Instance identifies the process; the leader copies it from the renewal.
+	Instance string
 	// PeerAddress serves jsonrpc2, RelayAddress relayed HTTP requests and
 	// BackendsAddress announcements of backend servers; all are IP:port.
 	PeerAddress     string
@@ -38,6 +51,11 @@
 	Host string
 	// Planned is set when the host closed its session itself.
 	Planned bool
+	// Joined is the revision at which the host joined, and Term the term of the
+	// leader that decided. The command has no effect when the host joined again or
+	// a later leader was elected meanwhile. Zero means any.
+	Joined uint64
+	Term   uint64
 }
 
 // BackendAnnounced records a new backend server or a new incarnation of one.
@@ -159,10 +177,27 @@
 	return &c, nil
 }
 
-// EncodeResult returns the log form of r.
+// EncodeResult returns the log form of r. Equal results have equal forms, because
+// every replica stores them.
 func EncodeResult(r *Result) ([]byte, error) {
-	data, err := msgpack.Marshal(r)
-	return data, errors.Annotate(err, "encoding result")
+	sorted := struct {
+		Code     ResultCode
+		Detail   string   `msgpack:",omitempty"`
+		Problems []string `msgpack:",omitempty"`
+		Revision uint64
+		Versions map[string]any `msgpack:",omitempty"` // the encoder sorts keys of this type only
+	}{Code: r.Code, Detail: r.Detail, Problems: r.Problems, Revision: r.Revision}
+	if len(r.Versions) > 0 {
+		sorted.Versions = map[string]any{}
+	}
+	for name, v := range r.Versions {
+		sorted.Versions[name] = v
+	}
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.SetSortMapKeys(true)
+	err := enc.Encode(&sorted)
+	return buf.Bytes(), errors.Annotate(err, "encoding result")
 }
 
 // DecodeResult reads the log form of a result.
@@ -173,3 +208,18 @@
 	}
 	return &r, nil
 }
+
+// Count returns the number of kinds that are set; a valid command has one.
+func (c *Command) Count() int {
+	n := 0
+	for _, set := range []bool{
+		c.HostJoined != nil, c.HostLost != nil, c.BackendAnnounced != nil, c.BackendLost != nil,
+		c.Released != nil, c.Move != nil, c.Split != nil, c.Publish != nil, c.Drain != nil,
+		c.LeaderElected != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/control/decide.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/placement"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// attractFloor is the share of the mean load below which a backend server gets
+// slices even when no other one is overloaded: a new or restored server.
+const attractFloor = 0.5
+
+// Loads are the measured requests per second of one service.
+type Loads struct {
+	Slices map[uint64]float64 // by start
+	Keys   map[uint64]float64 // by hash
+}
+
+// View is all that a decision of the leader depends on.
+type View struct {
+	Table *table.Table
+	Term  uint64
+	// GraceOver is set when every session of earlier leaders is surely over.
+	GraceOver bool
+	// Live are the hosts that have a session or are opening one.
+	Live map[string]bool
+	// Balance is set when splits and moves are due; Loads are by service.
+	Balance   bool
+	Loads     map[string]Loads
+	MaxMoving int
+}
+
+// Decide returns the commands that are due. It is a pure function. Dispatchers
+// are reassigned and moves of lost owners are completed by the commit of the
+// loss itself, so there is nothing to decide about them afterwards.
+func Decide(v View) []command.Command {
+	var out []command.Command
+	if v.GraceOver {
+		for _, h := range v.Table.Hosts() {
+			if !v.Live[h.Name] {
+				out = append(out, command.Command{HostLost: &command.HostLost{Host: h.Name, Joined: h.Joined, Term: v.Term}})
+			}
+		}
+	}
+	if !v.Balance {
+		return out
+	}
+	for _, s := range v.Table.Services() {
+		if s.File.Keyed() {
+			out = append(out, balance(v.Table, s.File.Service, v.Loads[s.File.Service], v.MaxMoving)...)
+		}
+	}
+	return out
+}
+
+// balance decides on splits of hot keys, or else on moves, of one service.
+func balance(t *table.Table, service string, loads Loads, maxMoving int) []command.Command {
+	servers, list, moving := placementView(t, service, loads)
+	if len(servers) < 2 {
+		return nil
+	}
+	if hot := hotKeys(t, service, loads, len(servers)); len(hot) > 0 {
+		return []command.Command{{Split: &command.Split{Service: service, Hashes: hot}}}
+	}
+	if moving >= maxMoving {
+		return nil
+	}
+	moves := placement.Rebalance(servers, list, placement.Options{Floor: attractFloor, MaxMoves: maxMoving - moving})
+	cmd := &command.Move{Service: service}
+	i := 0
+	for s := range t.AllSlices(service) {
+		for _, m := range moves {
+			if m.Index == i && s.State == table.SliceOwned && m.To != s.Owner {
+				cmd.Moves = append(cmd.Moves, command.SliceMove{Start: s.Start, Epoch: s.Epoch, To: m.To})
+			}
+		}
+		i++
+	}
+	if len(cmd.Moves) == 0 {
+		return nil
+	}
+	return []command.Command{{Move: cmd}}
+}
+
+// placementView returns the servers and slices of a service as placement sees
+// them. A slice on the move counts for its next owner.
+func placementView(t *table.Table, service string, loads Loads) (servers []placement.Server, list []placement.Slice, moving int) {
+	for _, b := range t.Members(service) {
+		servers = append(servers, placement.Server{Name: b.Name, DataCentre: b.DataCentre, Slots: b.Slots})
+	}
+	for s := range t.AllSlices(service) {
+		p := placement.Slice{Owner: s.Owner, Standby: s.Standby, Load: loads.Slices[s.Start]}
+		if s.State == table.SliceReleasing {
+			p.Owner = s.Next
+			moving++
+		}
+		list = append(list, p)
+	}
+	return servers, list, moving
+}
+
+func hotKeys(t *table.Table, service string, loads Loads, servers int) []uint64 {
+	total := 0.0
+	for _, rate := range loads.Slices {
+		total += rate
+	}
+	var keys []placement.KeyLoad
+	for _, hash := range sortedHashes(loads.Keys) {
+		s, ok := t.Lookup(service, hash)
+		own := ok && s.Start == s.Last
+		if ok && (own || s.State == table.SliceOwned) {
+			keys = append(keys, placement.KeyLoad{Hash: hash, Load: loads.Keys[hash], Own: own})
+		}
+	}
+	return placement.HotKeys(keys, total, servers, placement.HotOptions{})
+}
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,192 @@
+package control
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/command"
+)
+
+// LeaderStatus is what the replicated log knows of its leader.
+type LeaderStatus struct {
+	IsLeader   bool
+	LeaderHost string // "" when unknown
+	Term       uint64
+	// LeaseUntil is the end of the leader lease and ElectedAt the time of the
+	// election, both on this process's clock; they count only while IsLeader.
+	LeaseUntil time.Time
+	ElectedAt  time.Time
+}
+
+// Proposer is the part of the replicated log that the leader's duties need.
+// Propose returns after the command has been applied to the local State. Its
+// error is ErrNotLeader or ErrDropped when the command is certainly not in the
+// log; after any other error it may be applied.
+type Proposer interface {
+	Propose(ctx context.Context, command []byte) (index uint64, result []byte, err error)
+	Status() LeaderStatus
+}
+
+// Errors of a Proposer that say that a command is certainly not in the log.
+const (
+	ErrNotLeader = errors.ConstError("not the leader")
+	ErrDropped   = errors.ConstError("proposal dropped")
+)
+
+// Defaults of LeaderConfig.
+const (
+	DefaultSessionTTL       = time.Second
+	DefaultMaxClockDrift    = 0.01
+	DefaultPoll             = 500 * time.Millisecond
+	DefaultTick             = 50 * time.Millisecond
+	DefaultBalanceInterval  = time.Second
+	DefaultMaxMoving        = 32
+	DefaultProposalDeadline = time.Second
+)
+
+// LeaderConfig is the environment of a Leader. Zero values mean the defaults.
+type LeaderConfig struct {
+	State    *State
+	Proposer Proposer
+	Clock    clock.Clock
+	// SessionTTL is the length of a session, as a host counts it.
+	SessionTTL time.Duration
+	// MaxClockDrift is the largest difference in speed between two clocks.
+	MaxClockDrift float64
+	// Poll bounds one Watch, Tick is the interval of the leader's decisions.
+	Poll time.Duration
+	Tick time.Duration
+	// BalanceInterval is the interval of decisions to split and move slices.
+	BalanceInterval time.Duration
+	// MaxMoving bounds the slices of one service that move at the same time.
+	MaxMoving int
+}
+
+func (c LeaderConfig) withDefaults() LeaderConfig {
+	setDefault(&c.Clock, clock.Clock(clock.Real{}))
+	setDefault(&c.SessionTTL, DefaultSessionTTL)
+	setDefault(&c.MaxClockDrift, DefaultMaxClockDrift)
+	setDefault(&c.Poll, DefaultPoll)
+	setDefault(&c.Tick, DefaultTick)
+	setDefault(&c.BalanceInterval, DefaultBalanceInterval)
+	setDefault(&c.MaxMoving, DefaultMaxMoving)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Leader does the duties of the leader of the control group. Every daemon with a
+// replica has one; it refuses while its replica is not the leader. It is safe for
+// concurrent use.
+type Leader struct {
+	cfg LeaderConfig
+
+	mu       sync.Mutex
+	term     uint64 // of the sessions below; a new term begins without any
+	fresh    bool   // LeaderElected of this term was applied, so State holds all earlier commands
+	sessions map[string]*session
+	joining  map[string]int // hosts whose HostJoined is on its way
+	loads    *loads
+	balanced time.Time // last decision to split and move
+	wake     chan struct{}
+}
+
+// NewLeader returns a Leader that does nothing before its first call.
+func NewLeader(cfg LeaderConfig) *Leader {
+	l := &Leader{cfg: cfg.withDefaults(), wake: make(chan struct{})}
+	l.reset(0)
+	return l
+}
+
+func (l *Leader) reset(term uint64) {
+	l.term, l.fresh = term, false
+	l.sessions, l.joining = map[string]*session{}, map[string]int{}
+	l.loads = newLoads()
+	l.balanced = time.Time{}
+}
+
+// leadership is proof that this process held the leader lease at a moment.
+type leadership struct {
+	now  time.Time // the lease was held at this time
+	term uint64
+	// graceEnds is when sessions granted by earlier leaders are surely over.
+	graceEnds time.Time
+}
+
+func (r leadership) inGrace() bool { return r.now.Before(r.graceEnds) }
+
+// lead checks the leader lease. The clock is read before the status: if the
+// process is paused in between, the lease counts at the earlier time, and all
+// that is granted counts from there. The caller holds l.mu.
+func (l *Leader) lead() (leadership, LeaderStatus, bool) {
+	now := l.cfg.Clock.Now()
+	st := l.cfg.Proposer.Status()
+	if !st.IsLeader || !now.Before(st.LeaseUntil) {
+		return leadership{}, st, false
+	}
+	if st.Term != l.term {
+		l.reset(st.Term)
+	}
+	return leadership{now: now, term: st.Term, graceEnds: st.ElectedAt.Add(l.sessionSpan())}, st, true
+}
+
+// sessionSpan is the time after which a session that was granted is over by the
+// slowest clock allowed.
+func (l *Leader) sessionSpan() time.Duration {
+	return l.cfg.SessionTTL + time.Duration(float64(l.cfg.SessionTTL)*l.cfg.MaxClockDrift)
+}
+
+// establish commits LeaderElected once per term. Without it, State may lack
+// commands of earlier terms, and a grant could contradict them.
+func (l *Leader) establish(ctx context.Context) error {
+	l.mu.Lock()
+	r, st, ok := l.lead()
+	fresh := l.fresh
+	l.mu.Unlock()
+	if !ok {
+		return errors.New(notLeading(st))
+	}
+	if fresh {
+		return nil
+	}
+	_, err, _ := l.election.Do(strconv.FormatUint(r.term, 10), func() (any, error) {
+		res, err := l.commit(ctx, command.Command{LeaderElected: &command.LeaderElected{Term: r.term, Host: st.LeaderHost}})
+		if err == nil && res.Code != command.ResultOK {
+			err = errors.New(res.Detail)
+		}
+		return nil, err
+	})
+	if err != nil {
+		return errors.Annotate(err, "recording the election")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == r.term {
+		l.fresh = true
+	}
+	return nil
+}
+
+// notify wakes those who wait for a change of sessions. The caller holds l.mu.
+func (l *Leader) notify() {
+	close(l.wake)
+	l.wake = make(chan struct{})
+}
+
+func notLeading(st LeaderStatus) string {
+	if st.IsLeader {
+		return "the leader lease has run out"
+	}
+	return "not the leader"
+}
--- /dev/null
+++ b/internal/control/loads.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Smoothing and bounds of measured loads.
+const (
+	// loadHalfLife is the age at which a measurement counts half. The hottest keys
+	// change within minutes, and renewals report five times a second.
+	loadHalfLife = 5 * time.Second
+	// maxHotKeys bounds the keys tracked per service.
+	maxHotKeys = 4096
+	// minLoad is the requests per second below which a measurement is dropped.
+	minLoad = 0.001
+)
+
+// loads are the smoothed requests per second that dispatchers reported.
+type loads struct {
+	services map[string]*serviceLoads
+	folded   time.Time
+}
+
+type serviceLoads struct {
+	slices map[uint64]*rate // by start
+	keys   map[uint64]*rate // by hash
+}
+
+type rate struct {
+	perSecond float64
+	count     uint64 // since the last fold
+}
+
+func newLoads() *loads { return &loads{services: map[string]*serviceLoads{}} }
+
+func (l *loads) add(reports []wire.SliceLoads) {
+	for _, r := range reports {
+		s := l.services[r.Service]
+		if s == nil {
+			s = &serviceLoads{slices: map[uint64]*rate{}, keys: map[uint64]*rate{}}
+			l.services[r.Service] = s
+		}
+		for _, c := range r.Slices {
+			addCount(s.slices, c.Start, c.Count)
+		}
+		for _, c := range r.Keys {
+			addCount(s.keys, c.Hash, c.Count)
+		}
+	}
+}
+
+func addCount(rates map[uint64]*rate, id, count uint64) {
+	r := rates[id]
+	if r == nil {
+		r = &rate{}
+		rates[id] = r
+	}
+	r.count += count
+}
+
+// fold turns the counts since the last fold into rates.
+func (l *loads) fold(now time.Time) {
+	elapsed := now.Sub(l.folded)
+	first := l.folded.IsZero()
+	if !first && elapsed <= 0 {
+		return
+	}
+	l.folded = now
+	if first {
+		return // the time that the first counts cover is unknown
+	}
+	// A linear approximation of exponential decay, exact enough at one fold a second.
+	weight := min(1, elapsed.Seconds()/(loadHalfLife.Seconds()+elapsed.Seconds()))
+	for _, s := range l.services {
+		foldRates(s.slices, elapsed.Seconds(), weight)
+		foldRates(s.keys, elapsed.Seconds(), weight)
+		s.boundKeys()
+	}
+}
+
+func foldRates(rates map[uint64]*rate, seconds, weight float64) {
+	for id, r := range rates {
+		r.perSecond += weight * (float64(r.count)/seconds - r.perSecond)
+		r.count = 0
+		if r.perSecond < minLoad {
+			delete(rates, id)
+		}
+	}
+}
+
+// boundKeys drops the coldest keys beyond maxHotKeys.
+func (s *serviceLoads) boundKeys() {
+	if len(s.keys) <= maxHotKeys {
+		return
+	}
+	all := make([]float64, 0, len(s.keys))
+	for _, r := range s.keys {
+		all = append(all, r.perSecond)
+	}
+	slices.Sort(all)
+	least := all[len(all)-maxHotKeys]
+	for hash, r := range s.keys {
+		if r.perSecond < least {
+			delete(s.keys, hash)
+		}
+	}
+}
+
+// view returns the rates of a service by slice start and by key hash.
+func (l *loads) view(service string) Loads {
+	v := Loads{}
+	if s := l.services[service]; s != nil {
+		v.Slices, v.Keys = rates(s.slices), rates(s.keys)
+	}
+	return v
+}
+
+func rates(in map[uint64]*rate) map[uint64]float64 {
+	out := make(map[uint64]float64, len(in))
+	for id, r := range in {
+		out[id] = r.perSecond
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/propose.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Bounds of a wait until a revision is in force.
+const (
+	defaultInForceWait = 10 * time.Second
+	// recheckInterval is how often a wait looks for sessions that expired; acks wake it at once.
+	recheckInterval = 20 * time.Millisecond
+)
+
+// commit proposes a command and returns its result.
+func (l *Leader) commit(ctx context.Context, c command.Command) (*command.Result, error) {
+	data, err := c.Encode()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	_, encoded, err := l.cfg.Proposer.Propose(ctx, data)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return command.DecodeResult(encoded)
+}
+
+// Propose commits a command of a daemon or an operator and, if asked, waits
+// until its revision is in force.
+func (l *Leader) Propose(ctx context.Context, req wire.Proposal) wire.ProposalReply {
+	if c, err := command.Decode(req.Command); err != nil || c.Count() != 1 {
+		return wire.ProposalReply{Status: wire.ProposalDropped, Reason: "the proposal is not a command"}
+	}
+	_, encoded, err := l.cfg.Proposer.Propose(ctx, req.Command)
+	if err != nil {
+		return l.failedProposal(err)
+	}
+	res, err := command.DecodeResult(encoded)
+	if err != nil {
+		return wire.ProposalReply{Status: wire.ProposalUnknown, Reason: err.Error()}
+	}
+	reply := wire.ProposalReply{Status: wire.ProposalApplied, Leader: l.cfg.Proposer.Status().LeaderHost, Result: res}
+	if req.WaitInForce && res.Code == command.ResultOK {
+		l.awaitInForce(ctx, res.Revision, time.Duration(req.WaitMs)*time.Millisecond, &reply)
+	}
+	return reply
+}
+
+func (l *Leader) failedProposal(err error) wire.ProposalReply {
+	reply := wire.ProposalReply{Status: wire.ProposalUnknown, Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
+	switch {
+	case errors.Is(err, ErrNotLeader):
+		reply.Status = wire.ProposalNotLeader
+	case errors.Is(err, ErrDropped):
+		reply.Status = wire.ProposalDropped
+	}
+	return reply
+}
+
+// awaitInForce waits until a revision is in force and says so in reply, or says
+// why it cannot tell.
+func (l *Leader) awaitInForce(ctx context.Context, revision uint64, wait time.Duration, reply *wire.ProposalReply) {
+	if wait <= 0 {
+		wait = defaultInForceWait
+	}
+	deadline := l.cfg.Clock.Now().Add(wait)
+	for {
+		wake, done := l.checkInForce(revision, deadline, reply)
+		if done {
+			return
+		}
+		recheck := time.NewTimer(recheckInterval)
+		select {
+		case <-ctx.Done():
+			recheck.Stop()
+			reply.Reason = fmt.Sprintf("stopped waiting: %v", ctx.Err())
+			return
+		case <-wake:
+		case <-recheck.C:
+		}
+		recheck.Stop()
+	}
+}
+
+// checkInForce looks once. It reports done when the answer is final.
+func (l *Leader) checkInForce(revision uint64, deadline time.Time, reply *wire.ProposalReply) (wake <-chan struct{}, done bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, st, ok := l.lead()
+	if !ok {
+		reply.Reason = notLeading(st) + "; whether the revision is in force is unknown"
+		return nil, true
+	}
+	reply.Pending = l.pending(revision, r)
+	if len(reply.Pending) == 0 && !r.inGrace() {
+		reply.InForce, reply.Reason = true, ""
+		return nil, true
+	}
+	reply.Reason = "not every host has acknowledged the revision"
+	if r.inGrace() {
+		reply.Reason = "sessions of an earlier leader may not be over"
+	}
+	return l.wake, !r.now.Before(deadline)
+}
+
+// pending names the hosts that may route by an older revision: those with a live
+// session that have not acknowledged this one and, during the grace after an
+// election, those that have not renewed yet. The caller holds l.mu.
+func (l *Leader) pending(revision uint64, r leadership) []string {
+	var out []string
+	for _, name := range sortedNames(l.sessions) {
+		if s := l.sessions[name]; s.live(r.now) && s.applied < revision {
+			out = append(out, name)
+		}
+	}
+	if !r.inGrace() {
+		return out
+	}
+	for _, h := range l.cfg.State.Table().Hosts() {
+		if l.sessions[h.Name] == nil {
+			out = append(out, h.Name)
+		}
+	}
+	return out
+}
+
+// Watch returns what changed since the revision of a host's table, and waits for
+// a change for at most the poll time when there is none.
+func (l *Leader) Watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
+	timeout := time.NewTimer(l.cfg.Poll)
+	defer timeout.Stop()
+	for {
+		st := l.cfg.Proposer.Status()
+		if !st.IsLeader {
+			return wire.TableReply{Leader: st.LeaderHost, Reason: notLeading(st)}
+		}
+		changed := l.cfg.State.Changed()
+		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
+		if delta != nil || snapshot != nil {
+			return wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost}
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return wire.TableReply{Revision: revision, Leader: st.LeaderHost}
+		case <-ctx.Done():
+			return wire.TableReply{Revision: revision, Leader: st.LeaderHost, Reason: ctx.Err().Error()}
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/fleet"
+	"github.com/agatestep/agatestep/internal/ownership"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// State is the replicated state machine. Apply, Snapshot and Restore are called
+// by one goroutine; all other methods are safe for concurrent use.
+type State struct {
+	check    Checker
+	fleet    *fleet.Fleet
+	slices   map[string]*ownership.Slices // keyed services only
+	sources  map[string]*source
+	results  *results
+	operated uint64
+
+	table   atomic.Pointer[table.Table]
+	hosts   atomic.Pointer[hostRecords]
+	history *history
+
+	mu      sync.Mutex
+	changed chan struct{} // closed by the next change
+}
+
+// NewState returns the state before the first command.
+func NewState(check Checker) *State {
+	s := &State{
+		check:   check,
+		fleet:   fleet.New(),
+		slices:  map[string]*ownership.Slices{},
+		sources: map[string]*source{},
+		results: newResults(),
+		history: newHistory(),
+		changed: make(chan struct{}),
+	}
+	s.table.Store(table.Empty())
+	s.hosts.Store(&hostRecords{})
+	return s
+}
+
+// Table returns the routing table of the last applied command.
+func (s *State) Table() *table.Table { return s.table.Load() }
+
+// Changed returns a channel that is closed by the next applied command or
+// restored snapshot. Take it before reading the state that is waited for.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// OperatorRevision returns the revision of the last publish or drain that was
+// accepted. Hosts must not open a session with an older table.
+func (s *State) OperatorRevision() uint64 { return atomic.LoadUint64(&s.operated) }
+
+// Changes returns what leads from the table of revision since to the current
+// one: a delta, or a snapshot when since is past the delta horizon. Both are nil
+// when since is the current revision or a higher one.
+func (s *State) Changes(since uint64) (delta, snapshot []byte, revision uint64) {
+	return s.history.changes(since, s.Table())
+}
+
+// Apply executes the command with a log index and returns its encoded result.
+// It is deterministic. A command that cannot be decoded or that a rule forbids
+// changes nothing but the revision.
+func (s *State) Apply(index uint64, data []byte) []byte {
+	var result *command.Result
+	if current := s.Table().Revision(); index <= current {
+		result = &command.Result{Code: command.ResultStale, Detail: errors.Errorf("index %d is applied already", index).Error(), Revision: current}
+	} else {
+		result = s.execute(index, data)
+		s.commit(index)
+	}
+	encoded, err := command.EncodeResult(result)
+	if err != nil {
+		return nil // a Result holds strings and numbers only, which always encode
+	}
+	return encoded
+}
+
+// commit puts the changes of one command into a new table.
+func (s *State) commit(index uint64) {
+	old := s.Table()
+	b := table.NewBuilder(old.Revision())
+	for _, name := range sortedNames(s.slices) {
+		for backend := range s.slices[name].Flush(b) {
+			s.fleet.Raise(table.BackendRef{Service: name, Name: backend}, index)
+		}
+	}
+	for _, src := range s.sources {
+		if src.Revision == index {
+			b.PutService(table.Service{File: src.file, Revision: index})
+		}
+	}
+	if s.fleet.HostsChanged() {
+		s.storeHosts()
+	}
+	s.fleet.Flush(b)
+	delta := b.Delta(index)
+	next, err := old.Apply(delta)
+	if err != nil {
+		// The aggregates produced a delta that contradicts the table they produced
+		// before. Continuing would let replicas route by different tables.
+		panic(errors.Annotatef(err, "control: command %d", index))
+	}
+	s.history.add(delta, next)
+	s.expose(next)
+}
+
+// expose makes a table visible and wakes those who wait for it.
+func (s *State) expose(next *table.Table) {
+	s.table.Store(next)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *State) execute(index uint64, data []byte) *command.Result {
+	c, err := command.Decode(data)
+	if err != nil {
+		return refused(index, errors.WithType(err, fleet.ErrInvalid))
+	}
+	if n := c.Count(); n != 1 {
+		return refused(index, invalidf("a command has exactly one kind, this one has %d", n))
+	}
+	switch {
+	case c.Publish != nil:
+		return s.once(index, c.Publish.RequestID, data, func() *command.Result { return s.publishFiles(index, c.Publish) })
+	case c.Drain != nil:
+		return s.once(index, c.Drain.RequestID, data, func() *command.Result { return s.drain(index, c.Drain) })
+	}
+	detail, err := s.executeInternal(index, c)
+	if err != nil {
+		return refused(index, err)
+	}
+	return &command.Result{Code: command.ResultOK, Detail: detail, Revision: index}
+}
+
+// executeInternal executes the commands that daemons propose themselves.
+func (s *State) executeInternal(index uint64, c *command.Command) (detail string, err error) {
+	switch {
+	case c.HostJoined != nil:
+		return "", s.fleet.JoinHost(c.HostJoined, index)
+	case c.HostLost != nil:
+		return "", s.fleet.LoseHost(c.HostLost, index)
+	case c.LeaderElected != nil:
+		return "", s.fleet.Elect(c.LeaderElected.Term)
+	case c.BackendAnnounced != nil:
+		return "", s.announce(index, c.BackendAnnounced)
+	case c.BackendLost != nil:
+		l := c.BackendLost
+		if err := s.fleet.LoseBackend(table.BackendRef{Service: l.Service, Name: l.Backend}, l.Incarnation, index); err != nil {
+			return "", err
+		}
+		s.reassign(l.Service, index)
+		return "", nil
+	default:
+		return s.executeSlices(index, c)
+	}
+}
+
+// executeSlices executes the commands about slices of one keyed service.
+func (s *State) executeSlices(index uint64, c *command.Command) (string, error) {
+	switch {
+	case c.Move != nil:
+		o, err := s.keyed(c.Move.Service)
+		if err != nil {
+			return "", err
+		}
+		n, err := o.Move(c.Move.Moves, s.fleet, index)
+		return countDetail(n, len(c.Move.Moves)), err
+	case c.Released != nil:
+		o, err := s.keyed(c.Released.Service)
+		if err != nil {
+			return "", err
+		}
+		n, err := o.Release(c.Released, index)
+		return countDetail(n, len(c.Released.Starts)), err
+	default:
+		o, err := s.keyed(c.Split.Service)
+		if err != nil {
+			return "", err
+		}
+		n, err := o.Split(c.Split.Hashes)
+		return countDetail(n, len(c.Split.Hashes)), err
+	}
+}
+
+func (s *State) keyed(service string) (*ownership.Slices, error) {
+	if o := s.slices[service]; o != nil {
+		return o, nil
+	}
+	return nil, invalidf("service %q is not published or not divided by key", service)
+}
+
+func (s *State) announce(index uint64, a *command.BackendAnnounced) error {
+	if s.sources[a.Service] == nil {
+		return invalidf("backend server %s/%s: service %q is not published", a.Service, a.Backend, a.Service)
+	}
+	replaced, err := s.fleet.Announce(a, index)
+	if err != nil {
+		return err
+	}
+	if o := s.slices[a.Service]; o != nil && replaced {
+		o.Replace(a.Backend, s.fleet, index)
+	}
+	s.reassign(a.Service, index)
+	return nil
+}
+
+func (s *State) reassign(service string, index uint64) {
+	if o := s.slices[service]; o != nil {
+		o.Reassign(s.fleet, index)
+	}
+}
+
+// hostRecords are the entry hosts that opened a session, by name.
+type hostRecords map[string]fleet.Host
+
+// storeHosts makes the host records readable for the leader.
+func (s *State) storeHosts() {
+	records := hostRecords(s.fleet.Hosts())
+	s.hosts.Store(&records)
+}
+
+// host returns the record of an entry host as of a recent revision.
+func (s *State) host(name string) (fleet.Host, bool) {
+	h, ok := (*s.hosts.Load())[name]
+	return h, ok
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/fleet/backends.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// Announce registers a backend server or a new incarnation of one, and gives it
+// dispatchers. replaced is set when an earlier incarnation that was alive is
+// gone, so that its slices must be given away as after a loss.
+func (f *Fleet) Announce(a *command.BackendAnnounced, index uint64) (replaced bool, err error) {
+	ref := table.BackendRef{Service: a.Service, Name: a.Backend}
+	if err := f.checkAnnouncement(ref, a); err != nil {
+		return false, err
+	}
+	old := f.backends[ref]
+	next := announced(a)
+	if old != nil {
+		next.Past = old.Past
+		next.Dispatcher, next.StandbyDispatcher = old.Dispatcher, old.StandbyDispatcher
+		next.Epoch = old.Epoch
+		if old.Incarnation != a.Incarnation {
+			replaced = !old.Lost
+			next.Past = pushPast(old.Past, old.Incarnation)
+			next.Past = slices.DeleteFunc(next.Past, func(p string) bool { return p == a.Incarnation })
+		}
+	}
+	next.Draining = f.drained(ref, a.DataCentre)
+	if old != nil && old.Backend == next.Backend {
+		return false, nil
+	}
+	if old == nil || replaced || old.Lost || old.Incarnation != next.Incarnation || old.Address != next.Address {
+		next.Epoch = index
+	}
+	f.backends[ref] = next
+	f.changedBackends[ref] = true
+	f.assignDispatchers(index)
+	return replaced, nil
+}
+
+func announced(a *command.BackendAnnounced) *Backend {
+	return &Backend{Backend: table.Backend{
+		Name:         a.Backend,
+		Service:      a.Service,
+		Incarnation:  a.Incarnation,
+		DataCentre:   a.DataCentre,
+		Address:      a.Address,
+		Slots:        a.Slots,
+		Connections:  a.Connections,
+		ChecksOrders: a.ChecksOrders,
+	}}
+}
+
+func (f *Fleet) checkAnnouncement(ref table.BackendRef, a *command.BackendAnnounced) error {
+	switch {
+	case a.Backend == "":
+		return invalidf("announcement without the name of the backend server")
+	case a.Incarnation == "":
+		return invalidf("backend server %s/%s: incarnation is missing", a.Service, a.Backend)
+	case a.DataCentre == "":
+		return invalidf("backend server %s/%s: data centre is missing", a.Service, a.Backend)
+	case a.Slots < 1:
+		return invalidf("backend server %s/%s: slots is %d, must be at least 1", a.Service, a.Backend, a.Slots)
+	case a.Connections < 0:
+		return invalidf("backend server %s/%s: connections is %d, must not be negative", a.Service, a.Backend, a.Connections)
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return invalidf("backend server %s/%s: address %q is not IP:port", a.Service, a.Backend, a.Address)
+	}
+	if other, ok := f.addressInUse(ref, a.Address); ok {
+		return invalidf("backend server %s/%s: address %s belongs to backend server %s/%s, which is alive",
+			a.Service, a.Backend, a.Address, other.Service, other.Name)
+	}
+	return f.checkIncarnation(ref, a)
+}
+
+func (f *Fleet) addressInUse(ref table.BackendRef, address string) (table.BackendRef, bool) {
+	for other, b := range f.backends {
+		if other != ref && b.Address == address && !b.Lost {
+			return other, true
+		}
+	}
+	return table.BackendRef{}, false
+}
+
+// checkIncarnation refuses an incarnation that may not replace a living one.
+// Incarnations have no order, so one that was replaced before is the older one.
+// At another address, the living incarnation may still hold a lease; the new one
+// has to wait for the end of it.
+func (f *Fleet) checkIncarnation(ref table.BackendRef, a *command.BackendAnnounced) error {
+	old := f.backends[ref]
+	if old == nil || old.Lost {
+		return nil
+	}
+	if old.Incarnation == a.Incarnation {
+		if old.Address != a.Address || old.DataCentre != a.DataCentre {
+			return invalidf("backend server %s/%s: incarnation %s is alive at %s in data centre %s and cannot move to %s in %s",
+				a.Service, a.Backend, a.Incarnation, old.Address, old.DataCentre, a.Address, a.DataCentre)
+		}
+		return nil
+	}
+	if slices.Contains(old.Past, a.Incarnation) {
+		return stalef("backend server %s/%s: incarnation %s was replaced by %s, which is alive",
+			a.Service, a.Backend, a.Incarnation, old.Incarnation)
+	}
+	if old.Address != a.Address {
+		return invalidf("backend server %s/%s: incarnation %s is alive at %s; incarnation %s at %s has to wait until its lease is over",
+			a.Service, a.Backend, old.Incarnation, old.Address, a.Incarnation, a.Address)
+	}
+	return nil
+}
+
+// LoseBackend records that the lease of an incarnation is surely over.
+func (f *Fleet) LoseBackend(ref table.BackendRef, incarnation string, index uint64) error {
+	b := f.backends[ref]
+	switch {
+	case b == nil:
+		return stalef("backend server %s/%s is not registered", ref.Service, ref.Name)
+	case b.Incarnation != incarnation:
+		return stalef("backend server %s/%s has incarnation %s, not %s", ref.Service, ref.Name, b.Incarnation, incarnation)
+	case b.Lost:
+		return stalef("backend server %s/%s is lost already", ref.Service, ref.Name)
+	}
+	b.Lost, b.LostAt, b.Epoch = true, index, index
+	f.changedBackends[ref] = true
+	f.forgetBackends()
+	return nil
+}
+
+// forgetBackends removes the backend servers that were lost first, beyond
+// maxAbsent. A lost backend server owns no slice.
+func (f *Fleet) forgetBackends() {
+	lost := 0
+	var first table.BackendRef
+	for ref, b := range f.backends {
+		if !b.Lost {
+			continue
+		}
+		if lost == 0 || b.LostAt < f.backends[first].LostAt {
+			first = ref
+		}
+		lost++
+	}
+	if lost > maxAbsent {
+		delete(f.backends, first)
+		f.changedBackends[first] = true
+	}
+}
--- /dev/null
+++ b/internal/fleet/dispatchers.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// roles counts the dispatcher and standby dispatcher roles of each present host.
+type roles struct {
+	hosts    []*Host // sorted by name
+	dispatch map[string]int
+	standby  map[string]int
+}
+
+func (f *Fleet) countRoles() *roles {
+	r := &roles{dispatch: map[string]int{}, standby: map[string]int{}}
+	for _, name := range slices.Sorted(maps.Keys(f.hosts)) {
+		if h := f.hosts[name]; !h.Absent {
+			r.hosts = append(r.hosts, h)
+		}
+	}
+	for _, b := range f.backends {
+		if !b.Lost {
+			r.dispatch[b.Dispatcher]++
+			r.standby[b.StandbyDispatcher]++
+		}
+	}
+	return r
+}
+
+// assignDispatchers replaces the dispatchers and standby dispatchers that are
+// absent. A dispatcher that has a session is never replaced, because it may
+// still send to the backend server.
+func (f *Fleet) assignDispatchers(index uint64) {
+	r := f.countRoles()
+	for _, ref := range f.sortedBackends() {
+		b := f.backends[ref]
+		if f.Host(b.Dispatcher) == nil {
+			next := b.StandbyDispatcher
+			if f.Host(next) == nil {
+				next = r.pickDispatcher(b)
+			}
+			if next != b.Dispatcher {
+				b.Dispatcher, b.Epoch = next, index
+				r.dispatch[next]++
+				f.changedBackends[ref] = true
+			}
+		}
+		if f.Host(b.StandbyDispatcher) == nil || b.StandbyDispatcher == b.Dispatcher {
+			f.setStandby(r, ref, b)
+		}
+	}
+}
+
+func (f *Fleet) setStandby(r *roles, ref table.BackendRef, b *Backend) {
+	next := r.pickStandby(b, f.Host(b.Dispatcher))
+	if next == b.StandbyDispatcher {
+		return
+	}
+	r.standby[b.StandbyDispatcher]--
+	r.standby[next]++
+	b.StandbyDispatcher = next
+	f.changedBackends[ref] = true
+}
+
+// spreadStandbys gives standby roles of hosts that have many to hosts that have
+// few, where the new standby is placed no worse.
+func (f *Fleet) spreadStandbys() {
+	r := f.countRoles()
+	for _, ref := range f.sortedBackends() {
+		b := f.backends[ref]
+		old, dispatcher := f.Host(b.StandbyDispatcher), f.Host(b.Dispatcher)
+		best := f.Host(r.pickStandby(b, dispatcher))
+		if old == nil || best == nil || dispatcher == nil {
+			continue
+		}
+		if r.total(old) > r.total(best)+1 && standbyRank(best, dispatcher) <= standbyRank(old, dispatcher) {
+			f.setStandby(r, ref, b)
+		}
+	}
+}
+
+func (r *roles) total(h *Host) int { return r.dispatch[h.Name] + r.standby[h.Name] }
+
+func rank(conditions ...bool) int {
+	n := 0
+	for _, c := range conditions {
+		n *= 2
+		if c {
+			n++
+		}
+	}
+	return n
+}
+
+func standbyRank(h, dispatcher *Host) int {
+	return rank(h.Draining, h.DataCentre == dispatcher.DataCentre)
+}
+
+// pickDispatcher returns the host with the fewest roles, in the backend
+// server's data centre where possible, or "" when there is no host.
+func (r *roles) pickDispatcher(b *Backend) string {
+	return pick(r.hosts, func(x, y *Host) int {
+		return cmp.Or(
+			cmp.Compare(rank(x.Draining, x.DataCentre != b.DataCentre), rank(y.Draining, y.DataCentre != b.DataCentre)),
+			cmp.Compare(r.dispatch[x.Name], r.dispatch[y.Name]),
+			cmp.Compare(r.total(x), r.total(y)))
+	})
+}
+
+// pickStandby returns another host than the dispatcher, in another data centre
+// where possible, or "" when there is none.
+func (r *roles) pickStandby(b *Backend, dispatcher *Host) string {
+	if dispatcher == nil {
+		return ""
+	}
+	others := slices.DeleteFunc(slices.Clone(r.hosts), func(h *Host) bool { return h == dispatcher })
+	return pick(others, func(x, y *Host) int {
+		return cmp.Or(
+			cmp.Compare(standbyRank(x, dispatcher), standbyRank(y, dispatcher)),
+			cmp.Compare(r.total(x), r.total(y)))
+	})
+}
+
+func pick(hosts []*Host, compare func(x, y *Host) int) string {
+	if len(hosts) == 0 {
+		return ""
+	}
+	return slices.MinFunc(hosts, compare).Name
+}
--- /dev/null
+++ b/internal/fleet/dump.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// Dump is the whole content of a fleet, in a fixed order.
+type Dump struct {
+	Hosts    []Host
+	Backends []Backend
+	Drains   []Drain
+	Term     uint64
+}
+
+// Dump returns the content of f.
+func (f *Fleet) Dump() Dump {
+	d := Dump{Term: f.term}
+	for _, name := range slices.Sorted(maps.Keys(f.hosts)) {
+		d.Hosts = append(d.Hosts, *f.hosts[name])
+	}
+	for _, ref := range f.sortedBackends() {
+		d.Backends = append(d.Backends, *f.backends[ref])
+	}
+	keys := slices.SortedFunc(maps.Keys(f.drains), func(a, b DrainKey) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	for _, key := range keys {
+		d.Drains = append(d.Drains, *f.drains[key])
+	}
+	return d
+}
+
+// Load returns the fleet with the content of d and no pending changes.
+func Load(d Dump) *Fleet {
+	f := New()
+	f.term = d.Term
+	for _, h := range d.Hosts {
+		f.hosts[h.Name] = &h
+	}
+	for _, b := range d.Backends {
+		f.backends[table.BackendRef{Service: b.Service, Name: b.Name}] = &b
+	}
+	for _, r := range d.Drains {
+		f.drains[r.DrainKey] = &r
+	}
+	return f
+}
--- /dev/null
+++ b/internal/fleet/hosts.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// JoinHost registers an entry host that opens a session, and gives it a share of
+// the dispatcher roles.
+func (f *Fleet) JoinHost(j *command.HostJoined, index uint64) error {
+	if err := f.checkHost(j); err != nil {
+		return err
+	}
+	next := &Host{Instance: j.Instance, Host: table.Host{
+		Name:            j.Host,
+		DataCentre:      j.DataCentre,
+		PeerAddress:     j.PeerAddress,
+		RelayAddress:    j.RelayAddress,
+		BackendsAddress: j.BackendsAddress,
+		AdminAddress:    j.AdminAddress,
+		Draining:        f.drainedDataCentre(j.DataCentre),
+	}}
+	if old := f.hosts[j.Host]; old != nil {
+		next.Past = old.Past
+		if old.Instance != j.Instance && old.Instance != "" {
+			next.Past = pushPast(old.Past, old.Instance)
+		}
+		next.Joined = old.Joined
+		if !old.Absent && old.Host == next.Host && old.Instance == next.Instance {
+			return nil
+		}
+	}
+	next.Joined = index
+	f.hosts[j.Host] = next
+	f.changedHosts[j.Host] = true
+	f.assignDispatchers(index)
+	f.spreadStandbys()
+	return nil
+}
+
+func (f *Fleet) checkHost(j *command.HostJoined) error {
+	if j.Host == "" || j.DataCentre == "" {
+		return invalidf("host %q in data centre %q: both names are required", j.Host, j.DataCentre)
+	}
+	for _, a := range []struct{ field, address string }{
+		{"peer", j.PeerAddress}, {"relay", j.RelayAddress}, {"backends", j.BackendsAddress}, {"admin", j.AdminAddress},
+	} {
+		if a.address == "" && (a.field == "admin" || a.field == "backends") {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.address); err != nil {
+			return invalidf("host %s: %s address %q is not IP:port", j.Host, a.field, a.address)
+		}
+	}
+	for name, h := range f.hosts {
+		if name != j.Host && !h.Absent && h.PeerAddress == j.PeerAddress {
+			return invalidf("host %s: peer address %s belongs to host %s, which has a session", j.Host, j.PeerAddress, name)
+		}
+	}
+	old := f.hosts[j.Host]
+	if old == nil || old.Instance == j.Instance {
+		return nil
+	}
+	if slices.Contains(old.Past, j.Instance) {
+		return stalef("host %s: instance %s was replaced by %s", j.Host, j.Instance, old.Instance)
+	}
+	if !old.Absent {
+		return invalidf("host %s: the session of instance %s is not over", j.Host, old.Instance)
+	}
+	return nil
+}
+
+// Elect records the term of a new leader.
+func (f *Fleet) Elect(term uint64) error {
+	if term < f.term {
+		return stalef("term %d is over, the leader of term %d is in office", term, f.term)
+	}
+	f.term = term
+	return nil
+}
+
+// HostsChanged reports whether a host changed since the last Flush.
+func (f *Fleet) HostsChanged() bool { return len(f.changedHosts) > 0 }
+
+// Hosts returns a copy of all host records, the absent ones included.
+func (f *Fleet) Hosts() map[string]Host {
+	out := make(map[string]Host, len(f.hosts))
+	for name, h := range f.hosts {
+		out[name] = *h
+	}
+	return out
+}
+
+// LoseHost records that the session of an entry host is over. Its dispatcher
+// roles go to the standby dispatchers.
+func (f *Fleet) LoseHost(l *command.HostLost, index uint64) error {
+	name := l.Host
+	h := f.hosts[name]
+	switch {
+	case h == nil || h.Absent:
+		return stalef("host %s has no session", name)
+	case l.Joined != 0 && l.Joined != h.Joined:
+		return stalef("host %s joined again at revision %d", name, h.Joined)
+	case l.Term != 0 && l.Term < f.term:
+		return stalef("the loss of host %s was decided in term %d, the leader of term %d is in office", name, l.Term, f.term)
+	}
+	h.Absent, h.LostAt = true, index
+	f.changedHosts[name] = true
+	f.assignDispatchers(index)
+	f.forgetHosts()
+	return nil
+}
+
+// forgetHosts removes the absent hosts that were lost first, beyond maxAbsent.
+func (f *Fleet) forgetHosts() {
+	absent, first := 0, ""
+	for name, h := range f.hosts {
+		if !h.Absent {
+			continue
+		}
+		if absent == 0 || h.LostAt < f.hosts[first].LostAt {
+			first = name
+		}
+		absent++
+	}
+	if absent > maxAbsent {
+		delete(f.hosts, first)
+	}
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,167 @@
+// Package ownership is the aggregate of slices: which backend server owns each
+// range of key hashes, and by which steps ownership changes. A living owner
+// always gives a slice up before another one gets it. The package knows no
+// transport and no clock.
+package ownership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/placement"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// ErrStale means that no part of a change fits the current state of its slices.
+const ErrStale = errors.ConstError("stale")
+
+// ErrInvalid means that a rule forbids the change.
+const ErrInvalid = errors.ConstError("invalid")
+
+// MaxSlices bounds the slices of one service, so that splits cannot grow the
+// table without limit.
+const MaxSlices = 1 << 20
+
+// Fleet tells the aggregate which backend servers of a service there are.
+type Fleet interface {
+	// Available returns the servers that may get slices, sorted by name.
+	Available(service string) []placement.Server
+	// Alive reports whether a server may still hold a lease.
+	Alive(ref table.BackendRef) bool
+}
+
+// Slices is the aggregate of the slices of one service. It is not safe for
+// concurrent use.
+type Slices struct {
+	service string
+	list    []table.Slice // sorted by start; Last is not maintained
+	changed map[uint64]bool
+	// touched are the backend servers whose set of slices changed.
+	touched map[string]bool
+}
+
+// New returns count unowned slices of equal size that cover all hashes.
+func New(service string, count int) *Slices {
+	count = min(max(count, 1), MaxSlices)
+	s := Load(service, nil)
+	width := ^uint64(0)/uint64(count) + 1 // 0 when count is 1
+	for i := range count {
+		start := uint64(i) * width
+		s.list = append(s.list, table.Slice{Start: start, State: table.SliceUnowned})
+		s.changed[start] = true
+	}
+	return s
+}
+
+// Load returns the aggregate of slices that are sorted by start.
+func Load(service string, list []table.Slice) *Slices {
+	return &Slices{service: service, list: list, changed: map[uint64]bool{}, touched: map[string]bool{}}
+}
+
+// Len returns the number of slices.
+func (s *Slices) Len() int { return len(s.list) }
+
+// Flush adds the slices that changed since the last call to b and returns the
+// backend servers whose set of slices changed.
+func (s *Slices) Flush(b *table.Builder) (touched map[string]bool) {
+	for start := range s.changed {
+		if i, ok := s.find(start); ok {
+			b.PutSlice(s.service, s.list[i])
+		}
+	}
+	touched = s.touched
+	s.changed, s.touched = map[uint64]bool{}, map[string]bool{}
+	return touched
+}
+
+func (s *Slices) find(start uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.list, start, func(e table.Slice, start uint64) int {
+		return cmp.Compare(e.Start, start)
+	})
+}
+
+func (s *Slices) mark(e *table.Slice, servers ...string) {
+	s.changed[e.Start] = true
+	for _, name := range servers {
+		if name != "" {
+			s.touched[name] = true
+		}
+	}
+}
+
+// grant gives a slice whose previous owner holds it no more to a server, or to
+// none when to is empty.
+func (s *Slices) grant(e *table.Slice, to string, index uint64) {
+	s.mark(e, e.Owner, to)
+	e.Owner, e.Next = to, ""
+	if to == "" {
+		e.State = table.SliceUnowned
+		return
+	}
+	e.State, e.Epoch = table.SliceOwned, index
+}
+
+// release starts taking a slice from an owner that is alive.
+func (s *Slices) release(e *table.Slice, next string) {
+	s.mark(e, e.Owner)
+	e.State, e.Next = table.SliceReleasing, next
+}
+
+// Reassign brings all slices in line with the fleet, in one step: slices of lost
+// owners go to their standbys, slices of draining owners begin to move, moves to
+// servers that are gone get another target, unowned slices get an owner, and
+// standbys are repaired.
+func (s *Slices) Reassign(fleet Fleet, index uint64) {
+	view := make([]placement.Slice, len(s.list))
+	for i := range s.list {
+		e := &s.list[i]
+		view[i] = placement.Slice{Owner: e.Owner, Standby: e.Standby}
+		if e.State == table.SliceReleasing {
+			view[i].Owner = e.Next
+		}
+	}
+	for i, want := range placement.Assign(fleet.Available(s.service), view) {
+		s.settle(&s.list[i], want, fleet, index)
+	}
+}
+
+func (s *Slices) settle(e *table.Slice, want placement.Slice, fleet Fleet, index uint64) {
+	if e.Standby != want.Standby {
+		e.Standby = want.Standby
+		s.mark(e)
+	}
+	alive := e.Owner != "" && fleet.Alive(table.BackendRef{Service: s.service, Name: e.Owner})
+	switch {
+	case e.State == table.SliceReleasing && alive:
+		if e.Next != want.Owner {
+			e.Next = want.Owner
+			s.mark(e)
+		}
+	case e.State == table.SliceOwned && alive:
+		if e.Owner != want.Owner {
+			s.release(e, want.Owner)
+		}
+	case e.Owner != want.Owner || e.State != table.SliceUnowned:
+		s.grant(e, want.Owner, index)
+	}
+}
+
+// Replace gives away the slices of a server whose process was replaced by a new
+// one: what the old process held is over, as after a loss.
+func (s *Slices) Replace(backend string, fleet Fleet, index uint64) {
+	s.Reassign(without{fleet, backend}, index)
+}
+
+// without is a fleet in which one backend server is lost.
+type without struct {
+	Fleet
+	name string
+}
+
+func (w without) Available(service string) []placement.Server {
+	return slices.DeleteFunc(w.Fleet.Available(service), func(s placement.Server) bool { return s.Name == w.name })
+}
+
+func (w without) Alive(ref table.BackendRef) bool { return ref.Name != w.name && w.Fleet.Alive(ref) }
--- /dev/null
+++ b/internal/table/builder.go
@@ -0,0 +1,128 @@
+package table
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Builder collects changes to a table and gives them as one Delta. A later
+// change of the same thing replaces an earlier one.
+type Builder struct {
+	base     uint64
+	services map[string]Service
+	backends map[BackendRef]*Backend // nil means removed
+	hosts    map[string]*Host        // nil means removed
+	drains   map[string]bool
+	slices   map[string]map[uint64]Slice
+}
+
+// NewBuilder returns a builder of a delta that builds on revision base.
+func NewBuilder(base uint64) *Builder {
+	return &Builder{
+		base:     base,
+		services: map[string]Service{},
+		backends: map[BackendRef]*Backend{},
+		hosts:    map[string]*Host{},
+		drains:   map[string]bool{},
+		slices:   map[string]map[uint64]Slice{},
+	}
+}
+
+// PutService adds or replaces a service.
+func (b *Builder) PutService(s Service) { b.services[s.File.Service] = s }
+
+// PutBackend adds or replaces a backend server.
+func (b *Builder) PutBackend(r Backend) {
+	b.backends[BackendRef{Service: r.Service, Name: r.Name}] = &r
+}
+
+// RemoveBackend removes a backend server.
+func (b *Builder) RemoveBackend(ref BackendRef) { b.backends[ref] = nil }
+
+// PutHost adds or replaces an entry host.
+func (b *Builder) PutHost(h Host) { b.hosts[h.Name] = &h }
+
+// RemoveHost removes an entry host.
+func (b *Builder) RemoveHost(name string) { b.hosts[name] = nil }
+
+// PutDrain takes a data centre out or restores it.
+func (b *Builder) PutDrain(dataCentre string, out bool) { b.drains[dataCentre] = out }
+
+// PutSlice adds the slice that begins at s.Start or replaces it.
+func (b *Builder) PutSlice(service string, s Slice) {
+	m := b.slices[service]
+	if m == nil {
+		m = map[uint64]Slice{}
+		b.slices[service] = m
+	}
+	m[s.Start] = s
+}
+
+// Add includes the changes of d, which builds on what the builder has so far.
+func (b *Builder) Add(d *Delta) {
+	for _, s := range d.Services {
+		b.PutService(s)
+	}
+	for _, r := range d.RemovedBackends {
+		b.RemoveBackend(r)
+	}
+	for _, r := range d.Backends {
+		b.PutBackend(r)
+	}
+	for _, name := range d.RemovedHosts {
+		b.RemoveHost(name)
+	}
+	for _, h := range d.Hosts {
+		b.PutHost(h)
+	}
+	for _, c := range d.Drains {
+		b.PutDrain(c.DataCentre, c.Out)
+	}
+	for i := range d.Slices {
+		for _, s := range d.Slices[i].Slices {
+			b.PutSlice(d.Slices[i].Service, s)
+		}
+	}
+}
+
+// Delta returns the collected changes, in an order that does not depend on the
+// order in which they were made.
+func (b *Builder) Delta(revision uint64) *Delta {
+	d := &Delta{Base: b.base, Revision: revision}
+	for _, name := range sortedKeys(b.services) {
+		d.Services = append(d.Services, b.services[name])
+	}
+	refs := slices.SortedFunc(maps.Keys(b.backends), func(x, y BackendRef) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Name, y.Name))
+	})
+	for _, ref := range refs {
+		if r := b.backends[ref]; r != nil {
+			d.Backends = append(d.Backends, *r)
+		} else {
+			d.RemovedBackends = append(d.RemovedBackends, ref)
+		}
+	}
+	for _, name := range sortedKeys(b.hosts) {
+		if h := b.hosts[name]; h != nil {
+			d.Hosts = append(d.Hosts, *h)
+		} else {
+			d.RemovedHosts = append(d.RemovedHosts, name)
+		}
+	}
+	for _, dc := range sortedKeys(b.drains) {
+		d.Drains = append(d.Drains, DrainChange{DataCentre: dc, Out: b.drains[dc]})
+	}
+	for _, name := range sortedKeys(b.slices) {
+		c := SliceChanges{Service: name}
+		for _, start := range sortedKeys(b.slices[name]) {
+			c.Slices = append(c.Slices, b.slices[name][start])
+		}
+		d.Slices = append(d.Slices, c)
+	}
+	return d
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/table/codec.go
@@ -0,0 +1,240 @@
+package table
+
+import (
+	"bytes"
+
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/agatestep/agatestep/internal/service"
+)
+
+// formatVersion is the first value of every encoding. A reader refuses others.
+const formatVersion = 1
+
+// maxPrealloc bounds the elements allocated before they are read, so that a
+// wrong length in the input allocates little.
+const maxPrealloc = 1024
+
+// Encode returns the binary form of d.
+func (d *Delta) Encode() ([]byte, error) {
+	var buf bytes.Buffer
+	w := &writer{enc: msgpack.NewEncoder(&buf)}
+	w.enc.UseCompactInts(true)
+	w.uint(formatVersion)
+	w.uint(d.Base)
+	w.uint(d.Revision)
+	writeList(w, d.Services, w.service)
+	w.enc.UseArrayEncodedStructs(true)
+	writeList(w, d.Backends, func(b *Backend) { w.value(b) })
+	writeList(w, d.RemovedBackends, func(r *BackendRef) { w.value(r) })
+	writeList(w, d.Hosts, func(h *Host) { w.value(h) })
+	writeList(w, d.RemovedHosts, func(s *string) { w.value(s) })
+	writeList(w, d.Drains, func(c *DrainChange) { w.value(c) })
+	writeList(w, d.Slices, w.slices)
+	return buf.Bytes(), errors.Annotate(w.err, "encoding table delta")
+}
+
+// DecodeDelta reads the binary form of a delta.
+func DecodeDelta(data []byte) (*Delta, error) {
+	buf := bytes.NewReader(data)
+	r := &reader{dec: msgpack.NewDecoder(buf)}
+	if v := r.uint(); r.err == nil && v != formatVersion {
+		return nil, errors.Annotatef(ErrInvalid, "format version %d, this program reads %d", v, formatVersion)
+	}
+	d := &Delta{Base: r.uint(), Revision: r.uint()}
+	d.Services = readList(r, r.service)
+	d.Backends = readList(r, func(b *Backend) { r.value(b) })
+	d.RemovedBackends = readList(r, func(b *BackendRef) { r.value(b) })
+	d.Hosts = readList(r, func(h *Host) { r.value(h) })
+	d.RemovedHosts = readList(r, func(s *string) { r.value(s) })
+	d.Drains = readList(r, func(c *DrainChange) { r.value(c) })
+	d.Slices = readList(r, r.slices)
+	if r.err != nil {
+		return nil, errors.Annotatef(ErrInvalid, "decoding table delta: %v", r.err)
+	}
+	if buf.Len() > 0 {
+		return nil, errors.Annotatef(ErrInvalid, "%d bytes after the table delta", buf.Len())
+	}
+	return d, nil
+}
+
+// Snapshot returns the binary form of the whole table.
+func (t *Table) Snapshot() ([]byte, error) { return t.full().Encode() }
+
+// DecodeSnapshot reads the binary form of a whole table.
+func DecodeSnapshot(data []byte) (*Table, error) {
+	d, err := DecodeDelta(data)
+	if err != nil {
+		return nil, err
+	}
+	if d.Base != 0 {
+		return nil, errors.Annotatef(ErrInvalid, "a delta from revision %d is not a snapshot", d.Base)
+	}
+	return Empty().apply(d)
+}
+
+// full returns the delta that leads from the empty table to t.
+func (t *Table) full() *Delta {
+	d := &Delta{Revision: t.revision, Hosts: t.hosts}
+	for _, s := range t.Services() {
+		name := s.File.Service
+		d.Services = append(d.Services, *s)
+		for _, b := range t.Backends(name) {
+			d.Backends = append(d.Backends, *b)
+		}
+		if n := t.SliceCount(name); n > 0 {
+			changes := SliceChanges{Service: name, Slices: make([]Slice, 0, n)}
+			for s := range t.AllSlices(name) {
+				changes.Slices = append(changes.Slices, s)
+			}
+			d.Slices = append(d.Slices, changes)
+		}
+	}
+	for _, dc := range t.drained {
+		d.Drains = append(d.Drains, DrainChange{DataCentre: dc, Out: true})
+	}
+	return d
+}
+
+// writer encodes values until the first error.
+type writer struct {
+	enc *msgpack.Encoder
+	err error
+}
+
+func (w *writer) do(err error) {
+	if w.err == nil {
+		w.err = err
+	}
+}
+
+func (w *writer) uint(v uint64) { w.do(w.enc.EncodeUint(v)) }
+func (w *writer) value(v any)   { w.do(w.enc.Encode(v)) }
+func (w *writer) text(v string) { w.do(w.enc.EncodeString(v)) }
+func (w *writer) service(s *Service) {
+	w.uint(s.Revision)
+	w.value(s.File)
+}
+
+func writeList[T any](w *writer, list []T, write func(*T)) {
+	w.do(w.enc.EncodeArrayLen(len(list)))
+	for i := range list {
+		write(&list[i])
+	}
+}
+
+// slices writes the names that occur once, and each slice as five or six small integers.
+func (w *writer) slices(c *SliceChanges) {
+	ids := map[string]uint64{"": 0}
+	list := []string{}
+	id := func(name string) uint64 {
+		n, ok := ids[name]
+		if !ok {
+			n = uint64(len(ids))
+			ids[name] = n
+			list = append(list, name)
+		}
+		return n
+	}
+	for i := range c.Slices {
+		id(c.Slices[i].Owner)
+		id(c.Slices[i].Next)
+		id(c.Slices[i].Standby)
+	}
+	w.text(c.Service)
+	writeList(w, list, func(s *string) { w.text(*s) })
+	writeList(w, c.Slices, func(s *Slice) {
+		w.uint(s.Start)
+		w.uint(s.Epoch)
+		w.uint(uint64(s.State))
+		w.uint(id(s.Owner))
+		w.uint(id(s.Next))
+		w.uint(id(s.Standby))
+	})
+}
+
+// reader decodes values until the first error.
+type reader struct {
+	dec *msgpack.Decoder
+	err error
+}
+
+func (r *reader) do(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *reader) uint() uint64 {
+	if r.err != nil {
+		return 0
+	}
+	v, err := r.dec.DecodeUint64()
+	r.do(err)
+	return v
+}
+
+func (r *reader) text() string {
+	if r.err != nil {
+		return ""
+	}
+	v, err := r.dec.DecodeString()
+	r.do(err)
+	return v
+}
+
+func (r *reader) value(v any) {
+	if r.err == nil {
+		r.do(r.dec.Decode(v))
+	}
+}
+
+func (r *reader) service(s *Service) {
+	s.Revision = r.uint()
+	s.File = new(service.File)
+	r.value(s.File)
+	if r.err == nil && s.File.Service == "" {
+		r.do(errors.New("a service has no name"))
+	}
+}
+
+func readList[T any](r *reader, read func(*T)) []T {
+	if r.err != nil {
+		return nil
+	}
+	n, err := r.dec.DecodeArrayLen()
+	r.do(err)
+	if n <= 0 || r.err != nil {
+		return nil
+	}
+	out := make([]T, 0, min(n, maxPrealloc))
+	for i := 0; i < n && r.err == nil; i++ {
+		var v T
+		read(&v)
+		out = append(out, v)
+	}
+	return out
+}
+
+func (r *reader) slices(c *SliceChanges) {
+	c.Service = r.text()
+	list := append([]string{""}, readList(r, func(s *string) { *s = r.text() })...)
+	name := func() string {
+		id := r.uint()
+		if id >= uint64(len(list)) {
+			r.do(errors.Errorf("name %d of %d", id, len(list)))
+			return ""
+		}
+		return list[id]
+	}
+	c.Slices = readList(r, func(s *Slice) {
+		s.Start, s.Epoch = r.uint(), r.uint()
+		state := r.uint()
+		if state > uint64(SliceUnowned) {
+			r.do(errors.Errorf("slice state %d", state))
+		}
+		s.State = SliceState(state)
+		s.Owner, s.Next, s.Standby = name(), name(), name()
+	})
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -47,8 +47,9 @@
 	// Dispatcher and StandbyDispatcher are entry hosts.
 	Dispatcher        string
 	StandbyDispatcher string
-	// Epoch is the revision of the last change to this record or to the set of
-	// slices that the backend server owns: the epoch of its next order.
+	// Epoch is the revision of the last change to the incarnation, address, lost
+	// flag or dispatcher of this record, or to the set of slices that the backend
+	// server owns and is not releasing: the epoch of its next order.
 	Epoch uint64
 }
 
@@ -60,7 +61,8 @@
 	RelayAddress    string
 	BackendsAddress string
 	AdminAddress    string
-	Draining        bool // its data centre is taken out
+	Draining        bool   // its data centre is taken out
+	Joined          uint64 // revision of the command that recorded the host
 }
 
 // Service is a published service with what routing needs.
--- /dev/null
+++ b/internal/table/view.go
@@ -0,0 +1,189 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Table is the routing state of the whole system at one revision. It is
+// immutable; Apply returns a new table that shares what did not change.
+type Table struct {
+	revision uint64
+	services map[string]int // index into entries
+	entries  []*serviceEntry
+	hosts    []Host // sorted by name
+	drained  []string
+	matcher  *matcher
+}
+
+// serviceEntry is a service with its backend servers and slices.
+type serviceEntry struct {
+	service  *Service
+	names    names
+	backends []*Backend // sorted by name
+	members  []*Backend
+	slices   sliceSet
+}
+
+// Empty returns the table of revision 0, which knows nothing.
+func Empty() *Table {
+	return &Table{services: map[string]int{}, matcher: newMatcher(nil)}
+}
+
+// Revision is the index of the last command that the table contains.
+func (t *Table) Revision() uint64 { return t.revision }
+
+func (t *Table) entry(service string) *serviceEntry {
+	if i, ok := t.services[service]; ok {
+		return t.entries[i]
+	}
+	return nil
+}
+
+// Service returns a published service, or nil.
+func (t *Table) Service(name string) *Service {
+	if e := t.entry(name); e != nil {
+		return e.service
+	}
+	return nil
+}
+
+// Services returns all published services, sorted by name.
+func (t *Table) Services() []*Service {
+	out := make([]*Service, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, e.service)
+	}
+	slices.SortFunc(out, func(a, b *Service) int { return cmp.Compare(a.File.Service, b.File.Service) })
+	return out
+}
+
+// Backend returns a backend server of a service, or nil.
+func (t *Table) Backend(service, name string) *Backend {
+	e := t.entry(service)
+	if e == nil {
+		return nil
+	}
+	if i, ok := e.find(name); ok {
+		return e.backends[i]
+	}
+	return nil
+}
+
+func (e *serviceEntry) find(backend string) (int, bool) {
+	return slices.BinarySearchFunc(e.backends, backend, func(b *Backend, name string) int {
+		return cmp.Compare(b.Name, name)
+	})
+}
+
+// Backends returns all backend servers of a service, sorted by name, the lost
+// and the draining ones included. The caller must not change the result.
+func (t *Table) Backends(service string) []*Backend {
+	if e := t.entry(service); e != nil {
+		return e.backends
+	}
+	return nil
+}
+
+// Members returns the backend servers of a service that may get work: neither
+// lost nor draining. The caller must not change the result.
+func (t *Table) Members(service string) []*Backend {
+	if e := t.entry(service); e != nil {
+		return e.members
+	}
+	return nil
+}
+
+// Host returns an entry host, or nil.
+func (t *Table) Host(name string) *Host {
+	if i, ok := findHost(t.hosts, name); ok {
+		return &t.hosts[i]
+	}
+	return nil
+}
+
+func findHost(hosts []Host, name string) (int, bool) {
+	return slices.BinarySearchFunc(hosts, name, func(h Host, name string) int {
+		return cmp.Compare(h.Name, name)
+	})
+}
+
+// Hosts returns all entry hosts, sorted by name. The caller must not change the result.
+func (t *Table) Hosts() []Host { return t.hosts }
+
+// Drained returns the data centres that operators have taken out, sorted. The
+// caller must not change the result.
+func (t *Table) Drained() []string { return t.drained }
+
+// Lookup returns the slice of a keyed service that holds a key hash.
+func (t *Table) Lookup(service string, hash uint64) (Slice, bool) {
+	e := t.entry(service)
+	if e == nil {
+		return Slice{}, false
+	}
+	c, i, ok := e.slices.find(hash)
+	if !ok {
+		return Slice{}, false
+	}
+	return e.slice(c, i), true
+}
+
+func (e *serviceEntry) slice(chunk, at int) Slice {
+	s := &e.slices.chunks[chunk][at]
+	return Slice{
+		Start:   s.start,
+		Last:    e.slices.last(chunk, at),
+		Owner:   e.names.byID[s.owner],
+		Next:    e.names.byID[s.next],
+		Standby: e.names.byID[s.standby],
+		Epoch:   s.epoch,
+		State:   s.state,
+	}
+}
+
+// SlicesOf returns the slices that a backend server owns, the ones it is
+// releasing included, sorted by start.
+func (t *Table) SlicesOf(service, backend string) []Slice {
+	e := t.entry(service)
+	if e == nil || backend == "" {
+		return nil
+	}
+	id, _, ok := e.names.find(backend)
+	if !ok {
+		return nil
+	}
+	var out []Slice
+	for c, chunk := range e.slices.chunks {
+		for i := range chunk {
+			if chunk[i].owner == id {
+				out = append(out, e.slice(c, i))
+			}
+		}
+	}
+	return out
+}
+
+// AllSlices calls yield for each slice of a service in the order of starts.
+func (t *Table) AllSlices(service string) func(yield func(Slice) bool) {
+	return func(yield func(Slice) bool) {
+		e := t.entry(service)
+		if e == nil {
+			return
+		}
+		for c, chunk := range e.slices.chunks {
+			for i := range chunk {
+				if !yield(e.slice(c, i)) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// SliceCount returns the number of slices of a service.
+func (t *Table) SliceCount(service string) int {
+	if e := t.entry(service); e != nil {
+		return e.slices.count
+	}
+	return 0
+}
