--- /dev/null
+++ b/internal/dispatch/announce.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+const (
+	maxAnnouncementBytes = 64 << 10
+	// soon is the announcement interval while something is about to change.
+	soon = 20 * time.Millisecond
+)
+
+// Announce takes an announcement of a backend server whose dispatcher is this
+// host, and grants or renews its lease.
+func (d *Dispatcher) Announce(_ context.Context, a wire.Announcement) wire.AnnounceReply {
+	now := d.cfg.Clock.Now()
+	s := d.server(serverKey{a.Service, a.Backend})
+	if s == nil {
+		return d.noLease(soon, fmt.Sprintf("host %s is not the dispatcher of %s/%s", d.cfg.Host, a.Service, a.Backend))
+	}
+	left := d.cfg.SessionValidUntil().Sub(now)
+	ttl := min(d.cfg.BackendLeaseTTL, scale(left, 1-d.cfg.MaxClockDrift)).Truncate(time.Millisecond)
+	if ttl <= 0 {
+		return d.noLease(soon, "the session of the dispatcher is not valid")
+	}
+	reply := s.announce(a, now, ttl)
+	if host := d.cfg.Tables().Host(d.cfg.Host); host != nil {
+		reply.AnnounceTo = host.BackendsAddress
+	}
+	return reply
+}
+
+func (d *Dispatcher) noLease(again time.Duration, reason string) wire.AnnounceReply {
+	return wire.AnnounceReply{IntervalMs: again.Milliseconds(), Reason: reason}
+}
+
+func (s *server) announce(a wire.Announcement, now time.Time, ttl time.Duration) wire.AnnounceReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !s.active:
+		return s.d.noLease(soon, "the dispatcher is changing")
+	case a.Incarnation != s.rec.Incarnation:
+		return s.d.noLease(soon, "the lease of another incarnation is not over")
+	case s.rec.Lost:
+		return s.d.noLease(s.d.cfg.AnnounceInterval, "the backend server is marked lost")
+	case s.lease.granted && a.ClockMs < s.lease.readMs:
+		return s.d.noLease(s.d.cfg.AnnounceInterval, "a later announcement was received before this one")
+	}
+	s.takeAnnouncement(a, now, ttl)
+	return wire.AnnounceReply{LeaseMs: ttl.Milliseconds(), Lease: s.lease.number,
+		IntervalMs: s.d.cfg.AnnounceInterval.Milliseconds()}
+}
+
+// takeAnnouncement renews the lease; s.mu is held.
+func (s *server) takeAnnouncement(a wire.Announcement, now time.Time, ttl time.Duration) {
+	drift := s.d.cfg.MaxClockDrift
+	before, silent := s.lease.number, s.lease.granted && !s.lease.usable(now, drift)
+	s.lease.renew(now, a.ClockMs, ttl, drift)
+	if silent {
+		s.admission.TurnCold(now)
+		s.d.cfg.Record("lease-lapsed", s.key.String(), fmt.Sprintf("lease %d after %d", s.lease.number, before))
+	}
+	if a.Leaving && !s.leaving {
+		s.leaving = true
+		s.d.cfg.Record("backend-leaving", s.key.String(), "")
+		s.notify()
+	}
+	if s.lease.number != before || s.leaving {
+		s.wake()
+	}
+	s.notifyWaiting()
+}
+
+// notifyWaiting lets requests that wait for a lease check again; s.mu is held.
+func (s *server) notifyWaiting() {
+	if s.pending > 0 {
+		s.notify()
+	}
+}
+
+// AnnounceHandler serves announcements on any host. It makes unknown backend
+// servers known and relays the others to their dispatcher.
+func (d *Dispatcher) AnnounceHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			w.Header().Set("Allow", http.MethodPost)
+			http.Error(w, "announcements are sent with POST", http.StatusMethodNotAllowed)
+			return
+		}
+		a, err := readAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the backend server is gone.
+		_ = json.NewEncoder(w).Encode(d.receive(r.Context(), a))
+	})
+}
+
+func readAnnouncement(r io.Reader) (wire.Announcement, error) {
+	var a wire.Announcement
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		return a, fmt.Errorf("announcement is not valid JSON: %w", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return a, fmt.Errorf("announcement is followed by other data")
+	}
+	return a, validate(a)
+}
+
+// namePattern is the form of names of backend servers, services and data
+// centres; names become parts of headers and of operator commands.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,126}[A-Za-z0-9])?$`)
+
+// Most slots and connections that one backend server may announce.
+const (
+	maxSlots       = 1 << 16
+	maxConnections = 1 << 16
+)
+
+func validate(a wire.Announcement) error {
+	for _, f := range []struct{ field, value string }{{"backend", a.Backend}, {"service", a.Service},
+		{"incarnation", a.Incarnation}, {"data_centre", a.DataCentre}} {
+		if !namePattern.MatchString(f.value) {
+			return fmt.Errorf("field %q: %q is not a name of 1 to 128 letters, digits, '.', '_' or '-'", f.field, f.value)
+		}
+	}
+	if addr, err := netip.ParseAddrPort(a.Address); err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		return fmt.Errorf("field \"address\": %q is not IP:port of a listener", a.Address)
+	}
+	switch {
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return fmt.Errorf("field \"slots\": %d is not between 1 and %d", a.Slots, maxSlots)
+	case a.Connections < 2 || a.Connections > maxConnections:
+		return fmt.Errorf("field \"connections\": %d is not between 2 and %d; one is kept for orders", a.Connections, maxConnections)
+	case a.ClockMs < 0:
+		return fmt.Errorf("field \"clock_ms\": %d is negative", a.ClockMs)
+	}
+	return nil
+}
+
+// receive registers or relays an announcement.
+func (d *Dispatcher) receive(ctx context.Context, a wire.Announcement) wire.AnnounceReply {
+	t := d.cfg.Tables()
+	if t.Service(a.Service) == nil {
+		return d.noLease(d.cfg.AnnounceInterval, fmt.Sprintf("service %q is not published", a.Service))
+	}
+	b := t.Backend(a.Service, a.Backend)
+	switch {
+	case b == nil || b.Lost:
+		return d.register(ctx, a)
+	case b.Dispatcher == d.cfg.Host:
+		return d.Announce(ctx, a)
+	case b.Dispatcher == "":
+		return d.noLease(soon, "the backend server has no dispatcher yet")
+	}
+	reply, err := d.cfg.RelayAnnounce(ctx, b.Dispatcher, a)
+	if err != nil {
+		return d.noLease(soon, fmt.Sprintf("dispatcher %s cannot be reached", b.Dispatcher))
+	}
+	return reply
+}
+
+// register proposes a backend server that is not known or is marked lost. A new
+// incarnation is registered only after the earlier one is marked lost, because
+// the earlier one may hold its slices until its lease is over.
+func (d *Dispatcher) register(ctx context.Context, a wire.Announcement) wire.AnnounceReply {
+	if a.Leaving {
+		return d.noLease(d.cfg.AnnounceInterval, "the backend server is leaving")
+	}
+	key := serverKey{a.Service, a.Backend}
+	d.mu.Lock()
+	busy := d.joining[key]
+	d.joining[key] = true
+	d.mu.Unlock()
+	if busy {
+		return d.noLease(soon, "registration is in progress")
+	}
+	defer func() {
+		d.mu.Lock()
+		delete(d.joining, key)
+		d.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.ProposeTimeout)
+	defer cancel()
+	result, err := d.cfg.Propose(ctx, &command.Command{BackendAnnounced: announced(a)})
+	switch {
+	case err != nil:
+		return d.noLease(d.cfg.AnnounceInterval, "registration failed: "+err.Error())
+	case result.Code != command.ResultOK:
+		return d.noLease(d.cfg.AnnounceInterval, "registration refused: "+result.Detail)
+	}
+	return d.noLease(soon, "registered; announce again for a lease")
+}
+
+func announced(a wire.Announcement) *command.BackendAnnounced {
+	return &command.BackendAnnounced{Backend: a.Backend, Service: a.Service, Incarnation: a.Incarnation,
+		DataCentre: a.DataCentre, Address: a.Address, Slots: a.Slots, Connections: a.Connections, ChecksOrders: a.ChecksOrders}
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,220 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+	"go.uber.org/zap"
+)
+
+// Config gives a dispatcher its place in the system and its limits.
+type Config struct {
+	Host string // name of this host
+	// Tables returns the current routing table. It must return a new table
+	// before TableChanged is called with it.
+	Tables            func() *table.Table
+	SessionValidUntil func() time.Time
+	Propose           func(ctx context.Context, c *command.Command) (*command.Result, error)
+	RelayAnnounce     func(ctx context.Context, host string, a wire.Announcement) (wire.AnnounceReply, error)
+	Clock             clock.Clock
+	Logger            *zap.Logger
+	Record            func(kind, subject, detail string)
+
+	BackendLeaseTTL  time.Duration // default 1 s
+	AnnounceInterval time.Duration // default 200 ms
+	MaxClockDrift    float64       // default 0.01
+	SweepInterval    time.Duration // default 20 ms; period of lease checks and retries
+	OrderTimeout     time.Duration // default 300 ms
+	ProposeTimeout   time.Duration // default 2 s
+
+	QueueLen     int   // most requests queued per backend server; default 256
+	PendingLen   int   // most requests per backend server that wait for a confirmation; default 64
+	MaxBodyBytes int64 // cap of relayed request bodies; zero means none
+	MaxTopKeys   int   // hot keys reported per backend server; default 16
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.BackendLeaseTTL, time.Second)
+	setDefault(&c.AnnounceInterval, 200*time.Millisecond)
+	setDefault(&c.MaxClockDrift, 0.01)
+	setDefault(&c.SweepInterval, 20*time.Millisecond)
+	setDefault(&c.OrderTimeout, 300*time.Millisecond)
+	setDefault(&c.ProposeTimeout, 2*time.Second)
+	setDefault(&c.QueueLen, 256)
+	setDefault(&c.PendingLen, 64)
+	setDefault(&c.MaxTopKeys, 16)
+	if c.Clock == nil {
+		c.Clock = clock.Real{}
+	}
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	if c.Record == nil {
+		c.Record = func(string, string, string) {}
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Dispatcher serves the backend servers assigned to one host.
+type Dispatcher struct {
+	cfg    Config
+	ctx    context.Context // ends when Run ends
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	servers  map[serverKey]*server
+	closing  bool
+	inFlight int
+	idle     chan struct{} // closed while inFlight is zero
+	// graceFrom is the time from which silence counts. It is moved forward when
+	// this host could not hear announcements itself.
+	graceFrom time.Time
+	lastSweep time.Time
+	joining   map[serverKey]bool // announcements being proposed
+	nextID    uint64
+}
+
+// New returns a dispatcher; Run must be called for it to act.
+func New(cfg Config) *Dispatcher {
+	cfg.setDefaults()
+	d := &Dispatcher{cfg: cfg, servers: map[serverKey]*server{}, joining: map[serverKey]bool{}, idle: make(chan struct{})}
+	close(d.idle)
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.graceFrom = cfg.Clock.Now()
+	d.lastSweep = d.graceFrom
+	return d
+}
+
+// TableChanged takes up and gives up backend servers as t says.
+func (d *Dispatcher) TableChanged(t *table.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Clock.Now()
+	seen := map[serverKey]bool{}
+	for _, svc := range t.Services() {
+		for _, b := range t.Backends(svc.File.Service) {
+			if b.Dispatcher != d.cfg.Host {
+				continue
+			}
+			key := serverKey{b.Service, b.Name}
+			seen[key] = true
+			s := d.servers[key]
+			if s == nil {
+				s = newServer(d, key)
+				d.servers[key] = s
+			}
+			s.apply(svc.File, *b, t.SlicesOf(b.Service, b.Name), now)
+		}
+	}
+	for key, s := range d.servers {
+		if !seen[key] {
+			s.deactivate()
+			delete(d.servers, key)
+		}
+	}
+}
+
+// Run checks leases and retries orders until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	ticker := time.NewTicker(d.cfg.SweepInterval)
+	defer ticker.Stop()
+	defer d.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.sweep(d.cfg.Clock.Now())
+		}
+	}
+}
+
+// sweep restarts the silence period when the session is not valid or when this
+// process was paused: announcements could not be heard in that time.
+func (d *Dispatcher) sweep(now time.Time) {
+	d.mu.Lock()
+	valid := now.Before(d.cfg.SessionValidUntil())
+	if !valid || now.Sub(d.lastSweep) > d.cfg.BackendLeaseTTL/2 {
+		d.graceFrom = now
+	}
+	d.lastSweep = now
+	grace := d.graceFrom
+	servers := make([]*server, 0, len(d.servers))
+	for _, s := range d.servers {
+		servers = append(servers, s)
+	}
+	d.mu.Unlock()
+	for _, s := range servers {
+		s.sweep(now, grace, valid)
+	}
+}
+
+func (d *Dispatcher) server(key serverKey) *server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.servers[key]
+}
+
+// begin counts a request in, unless Shutdown was called.
+func (d *Dispatcher) begin() (uint64, *verdict.Error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closing {
+		return 0, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping")
+	}
+	if d.inFlight == 0 {
+		d.idle = make(chan struct{})
+	}
+	d.inFlight++
+	d.nextID++
+	return d.nextID, nil
+}
+
+func (d *Dispatcher) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.inFlight--; d.inFlight == 0 {
+		close(d.idle)
+	}
+}
+
+// InFlight returns the number of requests in the dispatcher, queued ones included.
+func (d *Dispatcher) InFlight() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inFlight
+}
+
+// Shutdown refuses new requests and waits for those in flight. Leases are
+// renewed meanwhile, because requests in flight need them.
+func (d *Dispatcher) Shutdown(ctx context.Context) error {
+	d.mu.Lock()
+	d.closing = true
+	idle := d.idle
+	d.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (d *Dispatcher) sessionValid(now time.Time) bool {
+	return now.Before(d.cfg.SessionValidUntil())
+}
+
+var _ http.Handler = (*relayHandler)(nil)
--- /dev/null
+++ b/internal/dispatch/harness_test.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+	"github.com/matryer/is"
+)
+
+const half = uint64(1) << 63
+
+// backend is a fake backend server that counts executions by request id.
+type backend struct {
+	*httptest.Server
+	mu     sync.Mutex
+	orders []wire.Order
+	held   wire.OrderReply
+	reads  int
+	runs   map[string]int
+	last   http.Header
+	// behave replaces the answer to a request; refuse the answer to an order.
+	behave func(w http.ResponseWriter, r *http.Request)
+	refuse func(o wire.Order) bool
+}
+
+func newBackend(t *testing.T) *backend {
+	b := &backend{runs: map[string]int{}}
+	b.Server = httptest.NewServer(b)
+	t.Cleanup(b.Close)
+	return b
+}
+
+func (b *backend) address() string { return strings.TrimPrefix(b.URL, "http://") }
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == wire.OrderPath {
+		b.order(w, r)
+		return
+	}
+	id := r.Header.Get(wire.HeaderRequestID)
+	b.mu.Lock()
+	b.runs[id]++
+	b.last = r.Header.Clone()
+	behave := b.behave
+	b.mu.Unlock()
+	w.Header().Set(wire.HeaderRequestID, id)
+	if behave != nil {
+		behave(w, r)
+		return
+	}
+	_, _ = io.Copy(w, r.Body)
+}
+
+func (b *backend) order(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reply := b.held
+	var o wire.Order
+	if r.Method == http.MethodGet {
+		b.reads++
+	} else if _ = json.NewDecoder(r.Body).Decode(&o); b.refuse == nil || !b.refuse(o) {
+		b.orders = append(b.orders, o)
+		b.held = wire.OrderReply{Accepted: true, Incarnation: o.Incarnation, Epoch: o.Epoch, Slices: o.Slices}
+		reply = b.held
+	} else {
+		reply.Accepted, reply.Reason = false, "refused by the test"
+	}
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+// ran returns how often a request ran.
+func (b *backend) ran(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+func (b *backend) lastOrder() (o wire.Order, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n = len(b.orders); n > 0 {
+		o = b.orders[n-1]
+	}
+	return o, n
+}
+
+// world is one dispatcher with one keyed service of two slices, both owned by
+// the fake backend server b1.
+type world struct {
+	*is.I
+	t       *testing.T
+	d       *Dispatcher
+	b       *backend
+	clock   *clock.Fake
+	clockMs int64
+	table   atomic.Pointer[table.Table]
+	session atomic.Pointer[time.Time]
+	mu      sync.Mutex
+	props   []*command.Command
+}
+
+func newWorld(t *testing.T, change func(c *Config, b *table.Backend, f *service.File)) *world {
+	w := &world{I: is.New(t), t: t, b: newBackend(t), clock: clock.NewFake(time.Now()), clockMs: 5_000}
+	w.validFor(time.Hour)
+	file := service.File{Service: "desk", Key: &service.KeySource{Header: "X-Key", PathSegment: -1},
+		Match: service.Match{PathPrefixes: []string{"/"}}, Deadline: service.Deadline{Default: 2 * time.Second, Max: time.Minute},
+		ColdStart: service.ColdStart{Limit: 1, Ramp: time.Second}}
+	rec := table.Backend{Name: "b1", Service: "desk", Incarnation: "i1", DataCentre: "a", Address: w.b.address(),
+		Slots: 4, Connections: 10, ChecksOrders: true, Dispatcher: "h1", Epoch: 7}
+	cfg := Config{Host: "h1", Tables: w.table.Load, SessionValidUntil: func() time.Time { return *w.session.Load() },
+		Clock: w.clock, SweepInterval: time.Millisecond, Propose: w.propose}
+	if change != nil {
+		change(&cfg, &rec, &file)
+	}
+	w.table.Store(table.Empty())
+	w.d = New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.d.Run(ctx)
+	w.change(func(b *table.Builder) {
+		b.PutService(table.Service{File: &file})
+		b.PutHost(table.Host{Name: "h1", BackendsAddress: "127.0.0.1:1"})
+		b.PutBackend(rec)
+		b.PutSlice("desk", table.Slice{Start: 0, Owner: "b1", Epoch: 5, State: table.SliceOwned})
+		b.PutSlice("desk", table.Slice{Start: half, Owner: "b1", Epoch: 6, State: table.SliceOwned})
+	})
+	return w
+}
+
+func (w *world) validFor(d time.Duration) {
+	until := w.clock.Now().Add(d)
+	w.session.Store(&until)
+}
+
+func (w *world) propose(_ context.Context, c *command.Command) (*command.Result, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.props = append(w.props, c)
+	return &command.Result{Code: command.ResultOK}, nil
+}
+
+// proposed reports whether a proposal passes the test.
+func (w *world) proposed(test func(c *command.Command) bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.props {
+		if test(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// change applies a delta to the table and tells the dispatcher.
+func (w *world) change(build func(b *table.Builder)) {
+	w.t.Helper()
+	old := w.table.Load()
+	b := table.NewBuilder(old.Revision())
+	build(b)
+	next, err := old.Apply(b.Delta(old.Revision() + 10))
+	w.NoErr(err)
+	w.table.Store(next)
+	w.d.TableChanged(next)
+}
+
+// record changes the record of the backend server.
+func (w *world) record(change func(r *table.Backend)) {
+	rec := *w.table.Load().Backend("desk", "b1")
+	change(&rec)
+	w.change(func(b *table.Builder) { b.PutBackend(rec) })
+}
+
+func (w *world) pass(d time.Duration) {
+	w.clock.Advance(d)
+	w.clockMs += d.Milliseconds()
+}
+
+func (w *world) announce() wire.AnnounceReply {
+	rec := w.table.Load().Backend("desk", "b1")
+	return w.d.Announce(context.Background(), wire.Announcement{Backend: "b1", Service: "desk",
+		Incarnation: rec.Incarnation, DataCentre: "a", Address: rec.Address, Slots: rec.Slots, Connections: 10, ClockMs: w.clockMs})
+}
+
+// ready announces and waits until the order is confirmed.
+func (w *world) ready() *world {
+	w.t.Helper()
+	w.True(w.announce().LeaseMs > 0)
+	w.until("confirmed order", func() bool {
+		s := w.server()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.confirmed.known && s.confirmed.epoch == s.rec.Epoch && s.confirmed.lease == s.lease.number
+	})
+	return w
+}
+
+func (w *world) server() *server { return w.d.server(serverKey{"desk", "b1"}) }
+
+func (w *world) until(what string, done func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("timed out waiting for: %s", what)
+		}
+	}
+}
+
+// request returns a request for the slice that starts at 0.
+func (w *world) request(id, method, body string) *Request {
+	r := &Request{ID: id, Service: "desk", Backend: "b1", Keyed: true, Hash: 1, Epoch: 5,
+		Deadline: w.clock.Now().Add(2 * time.Second), Method: method, URI: "/x?y=1", Host: "desk.example", Header: http.Header{}}
+	if body != "" {
+		r.Body, r.ContentLength = strings.NewReader(body), int64(len(body))
+	}
+	return r
+}
+
+// do sends r and returns the body or the error.
+func (w *world) do(ctx context.Context, r *Request) (string, *verdict.Error) {
+	resp, err := w.d.Do(ctx, r)
+	if err != nil {
+		return "", err.(*verdict.Error)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return string(body), &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "truncated", Cause: err}
+	}
+	return string(body), nil
+}
+
+func headerInt(h http.Header, name string) int64 {
+	v, _ := strconv.ParseInt(h.Get(name), 10, 64)
+	return v
+}
--- /dev/null
+++ b/internal/dispatch/order.go
@@ -0,0 +1,255 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/wire"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+)
+
+// maxOrderBytes bounds the answer to an order: a range takes about 60 bytes.
+const maxOrderBytes = 8 << 20
+
+// retryGap is the least time between two equal orders or proposals.
+const retryGap = 50 * time.Millisecond
+
+// orderState is what an order said; the confirmed one is what the server holds.
+type orderState struct {
+	known       bool
+	incarnation string
+	epoch       uint64
+	lease       uint64
+	starts      map[uint64]bool
+}
+
+func (o orderState) equal(other orderState) bool {
+	return o.known == other.known && o.incarnation == other.incarnation && o.epoch == other.epoch &&
+		o.lease == other.lease && equalSets(o.starts, other.starts)
+}
+
+func equalSets(a, b map[uint64]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k := range a {
+		if !b[k] {
+			return false
+		}
+	}
+	return true
+}
+
+// loop sends orders until the role ends.
+func (s *server) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.kick:
+			s.step(ctx)
+		}
+	}
+}
+
+// step brings the server's order up to what the table wants.
+func (s *server) step(ctx context.Context) {
+	s.mu.Lock()
+	now := s.d.cfg.Clock.Now()
+	if !s.active || s.rec.Lost || !s.d.sessionValid(now) || now.Before(s.orderGap) {
+		s.mu.Unlock()
+		return
+	}
+	want, order := s.plan()
+	if want.equal(s.confirmed) {
+		released := s.released()
+		gone := s.leaving && len(want.starts) == 0 && s.total == 0
+		s.mu.Unlock()
+		s.proposeReleased(released)
+		if gone {
+			s.proposeLost()
+		}
+		return
+	}
+	rec, read, client := s.rec, s.mustRead, s.control
+	s.mu.Unlock()
+	err := s.push(ctx, client, rec, order, read)
+	s.pushed(want, rec, err)
+}
+
+// plan returns the order that the server should hold now; s.mu is held. A slice
+// that is being released stays in the order while it has requests in flight.
+func (s *server) plan() (orderState, wire.Order) {
+	want := orderState{known: true, incarnation: s.rec.Incarnation, epoch: s.rec.Epoch,
+		lease: s.lease.number, starts: map[uint64]bool{}}
+	order := wire.Order{Service: s.key.service, Backend: s.key.name, Incarnation: s.rec.Incarnation,
+		Dispatcher: s.d.cfg.Host, Epoch: s.rec.Epoch, Lease: s.lease.number, Keyed: s.file.Keyed(),
+		Slices: []wire.Range{}}
+	for _, sl := range s.slices {
+		if sl.Owner != s.key.name || (s.givingUp(sl) && !s.busy(sl)) {
+			continue
+		}
+		want.starts[sl.Start] = true
+		order.Slices = append(order.Slices, wire.Range{First: hex(sl.Start), Last: hex(sl.Last)})
+	}
+	return want, order
+}
+
+func (s *server) givingUp(sl table.Slice) bool {
+	return s.leaving || sl.State == table.SliceReleasing
+}
+
+func (s *server) busy(sl table.Slice) bool {
+	for hash := range s.inFlight {
+		if hash >= sl.Start && hash <= sl.Last {
+			return true
+		}
+	}
+	return false
+}
+
+// released returns the slices in state releasing that the confirmed order no
+// longer contains; s.mu is held.
+func (s *server) released() *command.Released {
+	r := &command.Released{Service: s.key.service, Backend: s.key.name}
+	for _, sl := range s.slices {
+		if sl.Owner == s.key.name && sl.State == table.SliceReleasing && !s.confirmed.starts[sl.Start] {
+			r.Starts = append(r.Starts, sl.Start)
+			r.Epochs = append(r.Epochs, sl.Epoch)
+		}
+	}
+	return r
+}
+
+// push sends the order; for a server that does not check orders it first reads
+// back what the server holds.
+func (s *server) push(ctx context.Context, client *http.Client, rec table.Backend, order wire.Order, read bool) error {
+	ctx, cancel := context.WithTimeout(ctx, s.d.cfg.OrderTimeout)
+	defer cancel()
+	if read {
+		held, err := exchangeOrder(ctx, client, http.MethodGet, rec.Address, nil)
+		if err != nil {
+			return errors.Annotate(err, "reading the order back")
+		}
+		if held.Epoch > order.Epoch {
+			return fmt.Errorf("backend server holds epoch %d, which is newer than %d", held.Epoch, order.Epoch)
+		}
+		s.d.cfg.Record("order-read", s.key.String(), fmt.Sprintf("epoch %d, %d slices", held.Epoch, len(held.Slices)))
+	}
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Annotate(err, "encoding order")
+	}
+	reply, err := exchangeOrder(ctx, client, http.MethodPost, rec.Address, body)
+	if err != nil {
+		return errors.Annotate(err, "sending order")
+	}
+	switch {
+	case !reply.Accepted:
+		return fmt.Errorf("order refused: %s", reply.Reason)
+	case reply.Incarnation != order.Incarnation || reply.Epoch != order.Epoch:
+		return fmt.Errorf("order confirmed for incarnation %q and epoch %d", reply.Incarnation, reply.Epoch)
+	case !sameRanges(reply.Slices, order.Slices):
+		return fmt.Errorf("order confirmed with %d slices, %d were sent", len(reply.Slices), len(order.Slices))
+	}
+	return nil
+}
+
+func exchangeOrder(ctx context.Context, client *http.Client, method, address string, body []byte) (*wire.OrderReply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+wire.OrderPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var reply wire.OrderReply
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxOrderBytes)).Decode(&reply); err != nil {
+		return nil, errors.Annotatef(err, "decoding answer with status %d", resp.StatusCode)
+	}
+	return &reply, nil
+}
+
+func sameRanges(a, b []wire.Range) bool {
+	order := func(x, y wire.Range) int { return bytes.Compare([]byte(x.First), []byte(y.First)) }
+	a, b = slices.SortedFunc(slices.Values(a), order), slices.SortedFunc(slices.Values(b), order)
+	return slices.Equal(a, b)
+}
+
+// pushed records the outcome of an order.
+func (s *server) pushed(want orderState, rec table.Backend, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		// The server may hold the order that failed, so nothing is confirmed.
+		first := s.confirmed.known || s.orderGap.IsZero()
+		s.confirmed = orderState{}
+		s.orderGap = s.d.cfg.Clock.Now().Add(retryGap)
+		if first {
+			s.d.cfg.Logger.Warn("order is not confirmed", zap.Stringer("backend", s.key), zap.Uint64("epoch", rec.Epoch), zap.Error(err))
+		}
+		return
+	}
+	s.orderGap = time.Time{}
+	if rec.Incarnation != s.rec.Incarnation {
+		return
+	}
+	s.mustRead = false
+	s.confirmed = want
+	s.d.cfg.Record("order-confirmed", s.key.String(), fmt.Sprintf("epoch %d, %d slices", want.epoch, len(want.starts)))
+	s.notify()
+	s.wake()
+}
+
+// proposeReleased proposes the released slices until the table shows them.
+func (s *server) proposeReleased(r *command.Released) {
+	if len(r.Starts) > 0 {
+		s.propose("released", &command.Command{Released: r})
+	}
+}
+
+// proposeLost proposes that the lease is over.
+func (s *server) proposeLost() {
+	s.mu.Lock()
+	incarnation := s.rec.Incarnation
+	s.mu.Unlock()
+	s.propose("backend-lost", &command.Command{BackendLost: &command.BackendLost{
+		Backend: s.key.name, Service: s.key.service, Incarnation: incarnation}})
+}
+
+// propose runs one proposal at a time and spaces repeated ones by retryGap.
+func (s *server) propose(kind string, c *command.Command) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.d.cfg.Clock.Now()
+	if s.proposing || now.Before(s.proposeGap) {
+		return
+	}
+	s.proposing = true
+	s.proposeGap = now.Add(retryGap)
+	go func() {
+		ctx, cancel := context.WithTimeout(s.d.ctx, s.d.cfg.ProposeTimeout)
+		defer cancel()
+		_, err := s.d.cfg.Propose(ctx, c)
+		s.mu.Lock()
+		s.proposing = false
+		s.mu.Unlock()
+		if err == nil {
+			s.d.cfg.Record(kind, s.key.String(), "")
+		}
+	}()
+}
+
+func hex(v uint64) string { return fmt.Sprintf("%016x", v) }
--- /dev/null
+++ b/internal/dispatch/relay.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/forward"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// RelayHandler serves requests that other entry hosts relay to this dispatcher.
+func (d *Dispatcher) RelayHandler() http.Handler { return &relayHandler{d} }
+
+type relayHandler struct{ d *Dispatcher }
+
+// ServeHTTP implements http.Handler.
+func (h *relayHandler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	id := in.Header.Get(wire.HeaderRequestID)
+	r, err := h.d.relayed(in)
+	if err != nil {
+		forward.WriteRefusal(w, err, id)
+		return
+	}
+	if r.Body != nil {
+		// Lets an early answer pass while the body is still being sent.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	resp, failure := h.d.Do(in.Context(), r)
+	if failure != nil {
+		forward.WriteRefusal(w, forward.AsError(failure), id)
+		return
+	}
+	forward.CopyResponse(w, resp)
+}
+
+// relayed reads a request from the relay hop.
+func (d *Dispatcher) relayed(in *http.Request) (*Request, *verdict.Error) {
+	h := in.Header
+	r := &Request{ID: h.Get(wire.HeaderRequestID), Service: h.Get(wire.HeaderService), Backend: h.Get(wire.HeaderBackend),
+		Method: in.Method, URI: in.RequestURI, Host: in.Host, Header: forward.RequestHeader(h), ContentLength: in.ContentLength}
+	if r.ID == "" || r.Service == "" || r.Backend == "" {
+		return nil, badRelay("the request id, service or backend server is missing")
+	}
+	ms, err := strconv.ParseInt(h.Get(wire.HeaderTimeoutMs), 10, 64)
+	if err != nil || ms <= 0 {
+		return nil, badRelay(wire.HeaderTimeoutMs + " is not a positive number")
+	}
+	r.Deadline = d.cfg.Clock.Now().Add(time.Duration(ms) * time.Millisecond)
+	if text := h.Get(wire.HeaderHash); text != "" {
+		r.Keyed = true
+		if r.Hash, err = strconv.ParseUint(text, 16, 64); err != nil {
+			return nil, badRelay(wire.HeaderHash + " is not a hexadecimal number")
+		}
+		if r.Epoch, err = strconv.ParseUint(h.Get(wire.HeaderEpoch), 10, 64); err != nil {
+			return nil, badRelay(wire.HeaderEpoch + " is not a number")
+		}
+	}
+	if d.cfg.MaxBodyBytes > 0 && in.ContentLength > d.cfg.MaxBodyBytes {
+		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBodyTooLarge, "the body exceeds the cap of the dispatcher")
+	}
+	if in.ContentLength != 0 {
+		r.Body = in.Body
+	}
+	forward.RemoveInternal(r.Header)
+	return r, nil
+}
+
+func badRelay(detail string) *verdict.Error {
+	return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "relayed request: "+detail)
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Request is a request for one backend server.
+type Request struct {
+	ID      string
+	Service string
+	Backend string
+	Keyed   bool
+	Hash    uint64 // hash of the key, keyed requests only
+	// Epoch is the epoch of the slice in the sender's table, keyed requests only.
+	Epoch    uint64
+	Deadline time.Time
+
+	Method string
+	URI    string // path and query as the caller sent them
+	Host   string
+	// Header holds the end-to-end headers; the dispatcher does not change it.
+	Header        http.Header
+	Body          io.Reader // nil when there is none
+	ContentLength int64     // -1 when unknown
+}
+
+// stamp is what the dispatcher states of its own rights in a forwarded request.
+type stamp struct {
+	epoch, lease, slice uint64
+	startBy, deadline   int64
+}
+
+// stampFor is called with s.mu held, after permit allowed the request.
+func (s *server) stampFor(r *Request, slice table.Slice) stamp {
+	deadline := s.lease.onServerClock(r.Deadline)
+	return stamp{epoch: s.rec.Epoch, lease: s.lease.number, slice: slice.Start,
+		startBy: min(deadline, s.lease.endMs()), deadline: deadline}
+}
+
+// outgoing builds the request to the backend server at address.
+func (r *Request) outgoing(ctx context.Context, address string, st stamp) (*http.Request, error) {
+	u, err := url.ParseRequestURI(r.URI)
+	if err != nil {
+		return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "request target is malformed")
+	}
+	u.Scheme, u.Host = "http", address
+	out := &http.Request{Method: r.Method, URL: u, Host: r.Host, Header: r.Header.Clone(),
+		ContentLength: r.ContentLength, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	h := out.Header
+	h.Set(wire.HeaderRequestID, r.ID)
+	h.Set(wire.HeaderService, r.Service)
+	h.Set(wire.HeaderEpoch, strconv.FormatUint(st.epoch, 10))
+	h.Set(wire.HeaderLease, strconv.FormatUint(st.lease, 10))
+	h.Set(wire.HeaderStartBy, strconv.FormatInt(st.startBy, 10))
+	h.Set(wire.HeaderDeadline, strconv.FormatInt(st.deadline, 10))
+	if r.Keyed {
+		h.Set(wire.HeaderSlice, hex(st.slice))
+	}
+	return out.WithContext(ctx), nil
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/rand"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/forward"
+	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// call is one request of a caller, ready to be sent.
+type call struct {
+	id         string
+	file       *service.File
+	keyed      bool
+	hash       uint64
+	idempotent bool
+	deadline   time.Time
+	method     string
+	uri        string
+	host       string
+	header     http.Header
+	length     int64
+	held       []byte        // the whole body when it is small
+	body       io.Reader     // nil when there is no body
+	last       *forward.Body // body of the last attempt when it is streamed
+}
+
+// requestIDPattern is the form of request ids that callers may choose.
+var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
+
+func requestID(r *http.Request) string {
+	if ids := r.Header[wire.HeaderRequestID]; len(ids) == 1 && requestIDPattern.MatchString(ids[0]) {
+		return ids[0]
+	}
+	return rand.Text()
+}
+
+// read checks the request of a caller and finds its service and key.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request, id string) (*call, *verdict.Error) {
+	if err := h.checkShape(r); err != nil {
+		return nil, err
+	}
+	svc, prefix, ok := h.cfg.Tables().Match(service.CanonicalHost(r.Host), r.URL.Path)
+	if !ok {
+		return nil, verdict.Refuse(http.StatusNotFound, verdict.ReasonNoRoute, "no service matches this host and path")
+	}
+	c := &call{id: id, file: svc.File, keyed: svc.File.Keyed(), method: r.Method, uri: r.RequestURI, host: r.Host, length: r.ContentLength}
+	c.idempotent = c.file.IsIdempotent(r.Method, r.URL.Path)
+	if !strings.HasPrefix(c.uri, "/") {
+		c.uri = r.URL.RequestURI()
+	}
+	if c.keyed {
+		key, err := c.file.KeyOf(r, prefix)
+		if err != nil {
+			return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonNoKey, err.Error())
+		}
+		c.hash = service.HashKey(key)
+	}
+	timeout, refusal := callerTimeout(r, c.file.Deadline)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c.deadline = h.cfg.Clock.Now().Add(timeout)
+	c.header = callerHeader(r)
+	return c, h.readBody(w, r, c)
+}
+
+func (h *Handler) checkShape(r *http.Request) *verdict.Error {
+	size := 0
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	switch {
+	case size > h.cfg.Limits.HeaderBytes:
+		return verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.ReasonHeaderTooLarge, "the header exceeds its cap")
+	case r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/"):
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the request target is not a path")
+	}
+	return nil
+}
+
+// callerTimeout returns the time that the caller allows, bounded by the service.
+func callerTimeout(r *http.Request, d service.Deadline) (time.Duration, *verdict.Error) {
+	text := r.Header.Get(wire.HeaderTimeoutMs)
+	if text == "" {
+		return d.Default, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, wire.HeaderTimeoutMs+" is not a positive number of milliseconds")
+	}
+	return time.Duration(min(ms, d.Max.Milliseconds())) * time.Millisecond, nil
+}
+
+// callerHeader returns the headers that are passed on.
+func callerHeader(r *http.Request) http.Header {
+	out := forward.RequestHeader(r.Header)
+	forward.RemoveInternal(out)
+	out.Add("Via", "1.1 agatestep")
+	if ip, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		if prior := out["X-Forwarded-For"]; len(prior) > 0 {
+			ip = strings.Join(prior, ", ") + ", " + ip
+		}
+		out.Set("X-Forwarded-For", ip)
+	}
+	return out
+}
+
+// readBody holds a small body and leaves a large one to be streamed.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) *verdict.Error {
+	limit := h.cfg.Limits.BodyBytes
+	if own := c.file.MaxBodyBytes; own > 0 {
+		limit = min(limit, own)
+	}
+	switch {
+	case r.ContentLength == 0:
+		return nil
+	case r.ContentLength > limit:
+		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBodyTooLarge, "the body exceeds its cap")
+	case r.ContentLength < 0 || r.ContentLength > h.cfg.Limits.ReplayBytes:
+		c.body = http.MaxBytesReader(w, r.Body, limit)
+		return nil
+	}
+	held, err := io.ReadAll(r.Body)
+	if err != nil {
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body broke off")
+	}
+	c.held, c.body = held, bytes.NewReader(held)
+	return nil
+}
+
+// attemptBody returns the body for one attempt; it is nil when there is none.
+func (c *call) attemptBody() io.Reader {
+	switch {
+	case c.held != nil:
+		return bytes.NewReader(c.held)
+	case c.body == nil:
+		return nil
+	}
+	c.last = forward.NewBody(c.body)
+	return c.last
+}
+
+// replayable reports whether the body can be sent again. It ends the body of
+// the last attempt first, so that two attempts never read it at a time.
+func (c *call) replayable() bool {
+	if c.last == nil {
+		return true
+	}
+	c.last.Close()
+	return !c.last.Touched()
+}
+
+// closeBody ends the body of the last attempt, which its transport may still read.
+func (c *call) closeBody() {
+	if c.last != nil {
+		c.last.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/balance"
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/dispatch"
+	"github.com/agatestep/agatestep/internal/forward"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+	"go.uber.org/zap"
+)
+
+// HealthPath answers whether this host takes new requests.
+const HealthPath = "/agatestep/healthz"
+
+// Dispatcher serves the backend servers whose dispatcher is this host.
+type Dispatcher interface {
+	Do(ctx context.Context, r *dispatch.Request) (*http.Response, error)
+}
+
+// Config gives an entry handler its place in the system and its limits.
+type Config struct {
+	Host              string
+	DataCentre        string
+	Tables            func() *table.Table
+	SessionValidUntil func() time.Time
+	Dispatcher        Dispatcher
+	Clock             clock.Clock
+	Logger            *zap.Logger
+	Limits            Limits
+	Counters          *Counters
+	// Seed makes the choice among equal backend servers repeatable.
+	Seed uint64
+}
+
+// Limits bounds what callers may ask for; a zero field means its default.
+type Limits struct {
+	HeaderBytes int   // sum of names and values; default 64 KiB
+	BodyBytes   int64 // default 1 GiB
+	InFlight    int   // default 4096
+	Waiting     int   // requests that wait for a newer table; default 1024
+	// ReplayBytes is the size up to which a body is held to be sent again;
+	// default 16 KiB.
+	ReplayBytes int64
+	RetryRatio  float64 // retries and hedges per request; default 0.1
+	HedgeRatio  float64 // hedges per request; default 0.05
+	Burst       float64 // most retries in a row; default 50
+}
+
+func (l *Limits) setDefaults() {
+	setDefault(&l.HeaderBytes, 64<<10)
+	setDefault(&l.BodyBytes, 1<<30)
+	setDefault(&l.InFlight, 4096)
+	setDefault(&l.Waiting, 1024)
+	setDefault(&l.ReplayBytes, 16<<10)
+	setDefault(&l.RetryRatio, 0.1)
+	setDefault(&l.HedgeRatio, 0.05)
+	setDefault(&l.Burst, 50)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Handler is the entry point of callers' requests.
+type Handler struct {
+	cfg      Config
+	relay    *http.Transport
+	retries  *balance.Budget
+	hedges   *balance.Budget
+	counters *Counters
+
+	mu       sync.Mutex
+	closing  bool
+	inFlight int
+	waiting  int
+	idle     chan struct{} // closed while inFlight is zero
+	choosers map[string]*chooser
+}
+
+// New returns a handler for callers' requests.
+func New(cfg Config) *Handler {
+	cfg.Limits.setDefaults()
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Real{}
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	if cfg.Counters == nil {
+		cfg.Counters = &Counters{}
+	}
+	h := &Handler{cfg: cfg, counters: cfg.Counters, idle: make(chan struct{}), choosers: map[string]*chooser{},
+		relay:   forward.NewTransport(forward.TransportConfig{DialTimeout: relayDialTimeout, IdleTimeout: time.Minute}),
+		retries: balance.NewBudget(cfg.Limits.RetryRatio, cfg.Limits.Burst),
+		hedges:  balance.NewBudget(cfg.Limits.HedgeRatio, cfg.Limits.Burst)}
+	close(h.idle)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		h.health(w)
+		return
+	}
+	h.counters.Requests.Add(1)
+	id := requestID(r)
+	if err := h.begin(); err != nil {
+		h.refuse(w, err, id)
+		return
+	}
+	defer h.end()
+	c, err := h.read(w, r, id)
+	if err != nil {
+		h.refuse(w, err, id)
+		return
+	}
+	if c.body != nil {
+		// Lets an early answer pass while the body is still being sent.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	defer c.closeBody()
+	ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(h.cfg.Clock.Now()))
+	defer cancel()
+	resp, err := h.run(ctx, c)
+	if err != nil {
+		h.refuse(w, err, id)
+		return
+	}
+	h.deliver(w, resp, id)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, e *verdict.Error, id string) {
+	h.counters.countRefusal(e)
+	forward.WriteRefusal(w, e, id)
+}
+
+// deliver copies the answer to the caller.
+func (h *Handler) deliver(w http.ResponseWriter, resp *http.Response, id string) {
+	forward.RemoveInternal(resp.Header)
+	resp.Header.Set(wire.HeaderRequestID, id)
+	resp.Header.Set(verdict.Header, verdict.Answered.String())
+	complete := false
+	defer func() {
+		if complete {
+			h.counters.Answered.Add(1)
+		} else {
+			h.counters.Aborted.Add(1)
+		}
+	}()
+	forward.CopyResponse(w, resp)
+	complete = true
+}
+
+// begin counts a request in when this host takes new requests.
+func (h *Handler) begin() *verdict.Error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closing {
+		return verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping")
+	}
+	if !h.sessionValid() {
+		return verdict.Unavailable(verdict.ReasonSession, "this host has no valid session")
+	}
+	if h.inFlight >= h.cfg.Limits.InFlight {
+		return verdict.Refuse(http.StatusTooManyRequests, verdict.ReasonOverloaded, "too many requests are in flight on this host")
+	}
+	if h.inFlight == 0 {
+		h.idle = make(chan struct{})
+	}
+	h.inFlight++
+	h.counters.InFlight.Add(1)
+	return nil
+}
+
+func (h *Handler) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counters.InFlight.Add(-1)
+	if h.inFlight--; h.inFlight == 0 {
+		close(h.idle)
+	}
+}
+
+func (h *Handler) sessionValid() bool {
+	return h.cfg.Clock.Now().Before(h.cfg.SessionValidUntil())
+}
+
+func (h *Handler) health(w http.ResponseWriter) {
+	h.mu.Lock()
+	closing := h.closing
+	h.mu.Unlock()
+	switch {
+	case closing:
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case !h.sessionValid():
+		http.Error(w, "no valid session", http.StatusServiceUnavailable)
+	default:
+		// A failed write means that the load balancer is gone.
+		_, _ = w.Write([]byte("ok\n"))
+	}
+}
+
+// StartShutdown fails the health check and refuses new requests.
+func (h *Handler) StartShutdown() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closing = true
+}
+
+// Shutdown calls StartShutdown and waits for the requests in flight.
+func (h *Handler) Shutdown(ctx context.Context) error {
+	h.StartShutdown()
+	h.mu.Lock()
+	idle := h.idle
+	h.mu.Unlock()
+	select {
+	case <-idle:
+		h.relay.CloseIdleConnections()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,216 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/dispatch"
+	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+	"github.com/matryer/is"
+)
+
+// backend is a fake backend server that counts executions by request id.
+type backend struct {
+	*httptest.Server
+	mu     sync.Mutex
+	runs   map[string]int
+	last   http.Header
+	behave func(w http.ResponseWriter, r *http.Request)
+}
+
+func newBackend(t testing.TB) *backend {
+	b := &backend{runs: map[string]int{}}
+	b.Server = httptest.NewServer(b)
+	t.Cleanup(b.CloseClientConnections)
+	return b
+}
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == wire.OrderPath {
+		var o wire.Order
+		_ = json.NewDecoder(r.Body).Decode(&o)
+		_ = json.NewEncoder(w).Encode(wire.OrderReply{Accepted: true, Incarnation: o.Incarnation, Epoch: o.Epoch, Slices: o.Slices})
+		return
+	}
+	id := r.Header.Get(wire.HeaderRequestID)
+	b.mu.Lock()
+	b.runs[id]++
+	b.last = r.Header.Clone()
+	behave := b.behave
+	b.mu.Unlock()
+	w.Header().Set(wire.HeaderRequestID, id)
+	if behave != nil {
+		behave(w, r)
+		return
+	}
+	_, _ = io.Copy(w, r.Body)
+}
+
+func (b *backend) ran(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+func (b *backend) set(behave func(w http.ResponseWriter, r *http.Request)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behave = behave
+}
+
+// host is one entry host with its dispatcher.
+type host struct {
+	name    string
+	table   atomic.Pointer[table.Table]
+	session atomic.Pointer[time.Time]
+	d       *dispatch.Dispatcher
+	entry   *Handler
+	server  *httptest.Server
+	relay   *httptest.Server
+}
+
+// world has two hosts. h1 is the dispatcher of all backend servers. The service
+// desk is keyed and owned by b1; the service vault is not, and has b1 and b2.
+type world struct {
+	*is.I
+	t        testing.TB
+	hosts    map[string]*host
+	backends map[string]*backend
+	limits   Limits
+	files    map[string]*service.File
+}
+
+func newWorld(t testing.TB, change func(w *world)) *world {
+	w := &world{I: is.New(t.(*testing.T)), t: t, hosts: map[string]*host{}, backends: map[string]*backend{}, files: map[string]*service.File{}}
+	return w.start(change)
+}
+
+func (w *world) start(change func(w *world)) *world {
+	deadline := service.Deadline{Default: 2 * time.Second, Max: time.Minute}
+	cold := service.ColdStart{Limit: 16, Ramp: time.Second}
+	safe := []service.IdempotentRule{{Methods: []string{"GET", "HEAD"}}}
+	w.files["desk"] = &service.File{Service: "desk", Key: &service.KeySource{Header: "X-Key", PathSegment: -1},
+		Match: service.Match{PathPrefixes: []string{"/desk/"}}, Deadline: deadline, ColdStart: cold, Idempotent: safe}
+	w.files["vault"] = &service.File{Service: "vault", Match: service.Match{PathPrefixes: []string{"/vault/"}},
+		Deadline: deadline, ColdStart: cold, Idempotent: safe}
+	w.backends["b1"], w.backends["b2"] = newBackend(w.t), newBackend(w.t)
+	if change != nil {
+		change(w)
+	}
+	for _, name := range []string{"h1", "h2"} {
+		w.hosts[name] = w.newHost(name)
+	}
+	w.change(func(b *table.Builder) {
+		for _, h := range w.hosts {
+			b.PutHost(table.Host{Name: h.name, RelayAddress: strings.TrimPrefix(h.relay.URL, "http://")})
+		}
+		for _, f := range w.files {
+			b.PutService(table.Service{File: f})
+			for name, be := range w.backends {
+				b.PutBackend(table.Backend{Name: name, Service: f.Service, Incarnation: "i1", Address: strings.TrimPrefix(be.URL, "http://"),
+					Slots: 16, Connections: 64, ChecksOrders: true, Dispatcher: "h1", Epoch: 7})
+			}
+		}
+		b.PutSlice("desk", table.Slice{Owner: "b1", Epoch: 5, State: table.SliceOwned})
+	}, "h1", "h2")
+	w.announce("h1")
+	return w
+}
+
+func (w *world) newHost(name string) *host {
+	h := &host{name: name}
+	h.table.Store(table.Empty())
+	until := time.Now().Add(time.Hour)
+	h.session.Store(&until)
+	valid := func() time.Time { return *h.session.Load() }
+	h.d = dispatch.New(dispatch.Config{Host: name, Tables: h.table.Load, SessionValidUntil: valid, SweepInterval: time.Millisecond,
+		BackendLeaseTTL: 30 * time.Second,
+		Propose: func(context.Context, *command.Command) (*command.Result, error) {
+			return &command.Result{Code: command.ResultOK}, nil
+		}})
+	h.entry = New(Config{Host: name, Tables: h.table.Load, SessionValidUntil: valid, Dispatcher: h.d, Limits: w.limits})
+	h.server, h.relay = httptest.NewServer(h.entry), httptest.NewServer(h.d.RelayHandler())
+	ctx, cancel := context.WithCancel(context.Background())
+	w.t.Cleanup(func() { cancel(); h.server.CloseClientConnections(); h.relay.CloseClientConnections() })
+	go h.d.Run(ctx)
+	return h
+}
+
+// change applies a delta to the tables of the named hosts.
+func (w *world) change(build func(b *table.Builder), hosts ...string) {
+	for _, name := range hosts {
+		h := w.hosts[name]
+		old := h.table.Load()
+		b := table.NewBuilder(old.Revision())
+		build(b)
+		next, err := old.Apply(b.Delta(old.Revision() + 10))
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		h.table.Store(next)
+		h.d.TableChanged(next)
+	}
+}
+
+// announce gives the dispatcher on the named host the leases of its servers.
+func (w *world) announce(on string) {
+	for _, f := range w.files {
+		for name := range w.backends {
+			w.hosts[on].d.Announce(context.Background(), wire.Announcement{Backend: name, Service: f.Service, Incarnation: "i1", ClockMs: 1000})
+		}
+	}
+}
+
+func (w *world) until(what string, done func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("timed out waiting for: %s", what)
+		}
+	}
+}
+
+// answer is what a caller sees.
+type answer struct {
+	status  int
+	body    string
+	verdict string
+	reason  verdict.Reason
+	header  http.Header
+	err     error
+}
+
+// call sends a request to a host; header is a list of names and values.
+func (w *world) call(on, method, path, id string, body io.Reader, header ...string) answer {
+	r, err := http.NewRequest(method, w.hosts[on].server.URL+path, body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Header.Set("X-Key", "k")
+	if id != "" {
+		r.Header.Set(wire.HeaderRequestID, id)
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(got), resp.Header.Get(verdict.Header),
+		verdict.Reason(resp.Header.Get(verdict.ReasonHeader)), resp.Header, err}
+}
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/dispatch"
+	"github.com/agatestep/agatestep/internal/forward"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// relayDialTimeout bounds opening a connection to another host of the system.
+const relayDialTimeout = 500 * time.Millisecond
+
+// relayGrace is kept back from the deadline of the dispatcher, so that its
+// refusal arrives before the deadline of this host, which would have to assume
+// that the request may have run.
+const relayGrace = 20 * time.Millisecond
+
+// sendRelay sends the request to the dispatcher over HTTP.
+func (h *Handler) sendRelay(ctx context.Context, r *dispatch.Request, to route, attempt int) (*http.Response, error) {
+	out, err := h.relayRequest(ctx, r, to, attempt)
+	if err != nil {
+		return nil, err
+	}
+	var body *forward.Body
+	if r.Body != nil {
+		body = forward.NewBody(r.Body)
+		out.Body = body
+	}
+	resp, err := forward.Send(ctx, h.relay, out, nil)
+	if err != nil {
+		return nil, err
+	}
+	if e := forward.AnswerVerdict(resp); e != nil {
+		resp.Body.Close()
+		return nil, e
+	}
+	if resp.Header.Get(verdict.Header) != verdict.Answered.String() {
+		resp.Body.Close()
+		return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway,
+			Reason: verdict.ReasonBadAnswer, Detail: "the dispatcher's answer carries no verdict"}
+	}
+	return resp, nil
+}
+
+func (h *Handler) relayRequest(ctx context.Context, r *dispatch.Request, to route, attempt int) (*http.Request, error) {
+	u, err := url.ParseRequestURI(r.URI)
+	if err != nil {
+		return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "request target is malformed")
+	}
+	u.Scheme, u.Host = "http", to.address
+	left := r.Deadline.Sub(h.cfg.Clock.Now())
+	left -= min(relayGrace, left/10)
+	if left < time.Millisecond {
+		return nil, verdict.Unavailable(verdict.ReasonDeadline, "the deadline passed before the request was relayed")
+	}
+	out := (&http.Request{Method: r.Method, URL: u, Host: r.Host, Header: r.Header.Clone(),
+		ContentLength: r.ContentLength, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
+	hd := out.Header
+	hd.Set(wire.HeaderRequestID, r.ID)
+	hd.Set(wire.HeaderService, r.Service)
+	hd.Set(wire.HeaderBackend, r.Backend)
+	hd.Set(wire.HeaderTimeoutMs, strconv.FormatInt(left.Milliseconds(), 10))
+	hd.Set(wire.HeaderAttempt, strconv.Itoa(attempt))
+	if r.Keyed {
+		hd.Set(wire.HeaderHash, strconv.FormatUint(r.Hash, 16))
+		hd.Set(wire.HeaderEpoch, strconv.FormatUint(r.Epoch, 10))
+	}
+	if r.ContentLength < 0 || r.ContentLength > h.cfg.Limits.ReplayBytes {
+		hd.Set("Expect", "100-continue")
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/dispatch"
+	"github.com/agatestep/agatestep/internal/forward"
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// maxAttempts bounds the attempts of one request, the first one included.
+const maxAttempts = 4
+
+// shortWait is the wait for a newer table after an answer that the table is not
+// current; the table is usually replaced within one poll of the control group.
+const shortWait = 100 * time.Millisecond
+
+// run sends the call until it is answered or may not be sent again.
+func (h *Handler) run(ctx context.Context, c *call) (*http.Response, *verdict.Error) {
+	h.retries.OnRequest()
+	if !c.keyed {
+		h.hedges.OnRequest()
+		return h.runUnkeyed(ctx, c)
+	}
+	r := keyedRoute(h.cfg.Tables(), c.file.Service, c.hash)
+	for attempt := 1; ; attempt++ {
+		if !r.usable {
+			var err *verdict.Error
+			if r, err = h.awaitRoute(ctx, c, r, time.Until(deadlineOf(ctx))); err != nil {
+				return nil, err
+			}
+		}
+		resp, err := h.attempt(ctx, c, r, attempt)
+		if err == nil {
+			return resp, nil
+		}
+		wait, again := retryKeyed(err)
+		if !again || attempt == maxAttempts || !h.mayRetry(ctx, c, err) {
+			return nil, err
+		}
+		if r, _ = h.awaitRoute(ctx, c, r, wait); ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	deadline, _ := ctx.Deadline()
+	return deadline
+}
+
+// retryKeyed says whether sending again to the owner of the key can help, and
+// how long to wait for another owner first. An owner that cannot be reached is
+// usually lost, so its request waits for the next owner.
+func retryKeyed(e *verdict.Error) (wait time.Duration, again bool) {
+	switch e.Reason {
+	case verdict.ReasonMoved, verdict.ReasonBackendRefused, verdict.ReasonConnectionLost:
+		return shortWait, true
+	case verdict.ReasonConnect, verdict.ReasonShutdown, verdict.ReasonSession:
+		return time.Minute, true
+	}
+	return 0, false
+}
+
+// mayRetry reports whether the rules and the budget allow one more attempt.
+func (h *Handler) mayRetry(ctx context.Context, c *call, e *verdict.Error) bool {
+	safe := e.Verdict == verdict.NotRun || (e.Verdict == verdict.MayHaveRun && c.idempotent)
+	if !safe || ctx.Err() != nil || !h.sessionValid() || !c.replayable() || !h.retries.TrySpend() {
+		return false
+	}
+	h.counters.Retries.Add(1)
+	return true
+}
+
+// attempt sends the call once, on this host or over the relay.
+func (h *Handler) attempt(ctx context.Context, c *call, r route, attempt int) (*http.Response, *verdict.Error) {
+	if !h.sessionValid() {
+		return nil, verdict.Unavailable(verdict.ReasonSession, "this host has no valid session")
+	}
+	req := &dispatch.Request{ID: c.id, Service: c.file.Service, Backend: r.backend, Keyed: c.keyed, Hash: c.hash,
+		Epoch: r.epoch, Deadline: c.deadline, Method: c.method, URI: c.uri, Host: c.host, Header: c.header,
+		Body: c.attemptBody(), ContentLength: c.length}
+	var resp *http.Response
+	var err error
+	if r.dispatcher == h.cfg.Host {
+		h.counters.Local.Add(1)
+		resp, err = h.cfg.Dispatcher.Do(ctx, req)
+	} else {
+		h.counters.Relayed.Add(1)
+		resp, err = h.sendRelay(ctx, req, r, attempt)
+	}
+	if err != nil {
+		return nil, withBodyCap(forward.AsError(err))
+	}
+	return resp, nil
+}
+
+// withBodyCap names the cap when a streamed body exceeded it.
+func withBodyCap(e *verdict.Error) *verdict.Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(e.Cause, &tooLarge) {
+		e.Status, e.Reason, e.Detail = http.StatusRequestEntityTooLarge, verdict.ReasonBodyTooLarge, "the body exceeds its cap"
+	}
+	return e
+}
--- /dev/null
+++ b/internal/forward/conn.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// TransportConfig describes the connections to one next hop.
+type TransportConfig struct {
+	MaxConns     int           // zero means no limit
+	OpenInterval time.Duration // least time between two new connections
+	DialTimeout  time.Duration
+	IdleTimeout  time.Duration
+	HeaderBytes  int64 // most header bytes of an answer
+	// Opened is called for each connection opened; it may be nil.
+	Opened func()
+}
+
+// continueTimeout bounds the wait for "100 Continue". It exceeds every request
+// deadline because the next hop answers only after admission.
+const continueTimeout = time.Hour
+
+// NewTransport returns a transport whose connections Send can seal.
+func NewTransport(cfg TransportConfig) *http.Transport {
+	limit := rate.Inf
+	if cfg.OpenInterval > 0 {
+		limit = rate.Every(cfg.OpenInterval)
+	}
+	limiter := rate.NewLimiter(limit, 1)
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := limiter.Wait(ctx); err != nil {
+			return nil, err
+		}
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if cfg.Opened != nil {
+			cfg.Opened()
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &http.Transport{
+		DialContext:            dial,
+		MaxConnsPerHost:        cfg.MaxConns,
+		MaxIdleConnsPerHost:    max(cfg.MaxConns, 64),
+		IdleConnTimeout:        cfg.IdleTimeout,
+		DisableCompression:     true,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: cfg.HeaderBytes,
+	}
+}
+
+var errSealed = errors.New("connection is closed for writing")
+
+// conn counts writes so that a failure before the first byte of a request is
+// known to have no effect.
+type conn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes int
+	sealed bool
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *conn) started() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal closes the connection and returns the number of writes that were
+// attempted; no write is attempted after it.
+func (c *conn) seal() int {
+	c.mu.Lock()
+	c.sealed = true
+	n := c.writes
+	c.mu.Unlock()
+	c.Conn.Close()
+	return n
+}
--- /dev/null
+++ b/internal/forward/header.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+const headerRequestID = wire.HeaderRequestID
+
+// internalPrefix marks the headers between processes of the system.
+const internalPrefix = "Agatestep-"
+
+// hopByHop lists the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// RemoveHopByHop deletes the headers that a hop must not pass on.
+func RemoveHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// RemoveInternal deletes the headers of the system's own protocol.
+func RemoveInternal(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, internalPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// RequestHeader returns the end-to-end headers of an incoming request.
+func RequestHeader(in http.Header) http.Header {
+	out := in.Clone()
+	RemoveHopByHop(out)
+	out.Del("Expect")
+	out.Del("Content-Length")
+	if _, ok := out["User-Agent"]; !ok {
+		out["User-Agent"] = nil // keeps the transport from adding its own
+	}
+	return out
+}
+
+// CopyResponse writes resp to w and streams its body. It panics with
+// http.ErrAbortHandler when the answer breaks off, so that the receiver sees an
+// aborted response and not a complete one.
+func CopyResponse(w http.ResponseWriter, resp *http.Response) {
+	defer resp.Body.Close()
+	RemoveHopByHop(resp.Header)
+	h := w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	w.WriteHeader(resp.StatusCode)
+	if err := copyBody(w, resp); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range resp.Trailer {
+		h[http.TrailerPrefix+name] = values
+	}
+}
+
+// copyBody flushes after each read when the length is unknown, because such an
+// answer may be a stream of events.
+func copyBody(w http.ResponseWriter, resp *http.Response) error {
+	var dst io.Writer = w
+	if resp.ContentLength < 0 {
+		rc := http.NewResponseController(w)
+		if err := rc.Flush(); err != nil {
+			return err
+		}
+		dst = flushWriter{w, rc}
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	// The wrapper hides ReadFrom and WriteTo, which would bypass the buffer.
+	_, err := io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{resp.Body}, *buf)
+	return err
+}
+
+type flushWriter struct {
+	w  io.Writer
+	rc *http.ResponseController
+}
+
+func (f flushWriter) Write(p []byte) (int, error) {
+	n, err := f.w.Write(p)
+	if err == nil {
+		err = f.rc.Flush()
+	}
+	return n, err
+}
+
+// AnswerVerdict returns the error that an answer of the next hop stands for, or
+// nil when it is an answer of the backend server to the request.
+func AnswerVerdict(resp *http.Response) *verdict.Error {
+	v, ok := verdict.Parse(resp.Header.Get(verdict.Header))
+	if !ok || v == verdict.Answered {
+		return nil
+	}
+	reason := verdict.Reason(resp.Header.Get(verdict.ReasonHeader))
+	if reason == "" {
+		reason = verdict.ReasonBackendRefused
+	}
+	return &verdict.Error{Verdict: v, Status: resp.StatusCode, Reason: reason, Detail: "refused by the next hop"}
+}
--- /dev/null
+++ b/internal/forward/send.go
@@ -0,0 +1,152 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// Body is a request body that the transport cannot replay. It can be closed
+// while the transport reads it.
+type Body struct {
+	mu     sync.Mutex
+	r      io.Reader
+	closed bool
+	read   bool
+}
+
+// NewBody wraps r, which may be nil.
+func NewBody(r io.Reader) *Body {
+	if r == nil {
+		r = http.NoBody
+	}
+	return &Body{r: r}
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return 0, errors.New("request body is closed")
+	}
+	b.read = true
+	b.mu.Unlock()
+	return b.r.Read(p)
+}
+
+// Close implements io.Closer; no read begins after it. It leaves the wrapped
+// reader open.
+func (b *Body) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	return nil
+}
+
+// Touched reports whether a read has begun. After Close the answer is final.
+func (b *Body) Touched() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.read
+}
+
+// Send sends req once over t. The check runs when a connection was obtained and
+// before anything is written; if it fails, nothing is written. The request must
+// have an absolute URL. A returned error is a *verdict.Error.
+func Send(ctx context.Context, t http.RoundTripper, req *http.Request, check func() *verdict.Error) (*http.Response, error) {
+	x := &exchange{check: check}
+	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	preventReplay(req)
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return nil, x.failure(ctx, err)
+	}
+	if x.refused != nil {
+		// Nothing was written, so this answer belongs to no request of ours.
+		resp.Body.Close()
+		return nil, x.refused
+	}
+	id := req.Header.Get(headerRequestID)
+	if got := resp.Header.Get(headerRequestID); got != id {
+		x.close()
+		resp.Body.Close()
+		return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway,
+			Reason: verdict.ReasonForeignAnswer, Detail: "answer carries another request id"}
+	}
+	return resp, nil
+}
+
+// preventReplay gives req a body that http.Transport cannot rewind, because it
+// replays requests with no body or with GetBody after a broken connection.
+func preventReplay(req *http.Request) {
+	req.GetBody = nil
+	if req.Body == nil || req.Body == http.NoBody {
+		req.Body = NewBody(nil)
+		if req.ContentLength == 0 {
+			// Without this, the transport would send an empty chunked body.
+			req.TransferEncoding = []string{"identity"}
+		}
+	}
+}
+
+type exchange struct {
+	check    func() *verdict.Error
+	conn     *conn
+	obtained bool
+	before   int
+	refused  *verdict.Error
+}
+
+func (x *exchange) gotConn(info httptrace.GotConnInfo) {
+	x.obtained = true
+	x.conn, _ = info.Conn.(*conn)
+	if x.conn != nil {
+		x.before = x.conn.started()
+	}
+	if x.check == nil {
+		return
+	}
+	if x.refused = x.check(); x.refused != nil {
+		x.close()
+	}
+}
+
+func (x *exchange) close() {
+	if x.conn != nil {
+		x.conn.seal()
+	}
+}
+
+// failure classifies err by how far the request got.
+func (x *exchange) failure(ctx context.Context, err error) *verdict.Error {
+	if x.refused != nil {
+		return x.refused
+	}
+	written := x.obtained
+	if x.conn != nil {
+		written = x.conn.seal() != x.before
+	}
+	e := &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable,
+		Reason: verdict.ReasonConnect, Detail: "no connection to the next hop", Cause: err}
+	if written {
+		e.Verdict, e.Status = verdict.MayHaveRun, http.StatusBadGateway
+		e.Reason, e.Detail = verdict.ReasonConnectionLost, "connection broke before the answer"
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.Reason, e.Detail = verdict.ReasonDeadline, "deadline passed before the answer"
+		if written {
+			e.Status = http.StatusGatewayTimeout
+		}
+	case ctx.Err() != nil:
+		e.Reason, e.Detail = verdict.ReasonCancelled, "caller went away"
+	}
+	return e
+}
--- /dev/null
+++ b/internal/verdict/reason.go
@@ -0,0 +1,35 @@
+package verdict
+
+import "net/http"
+
+// The reasons of refusals and failures on the path of a request.
+const (
+	ReasonSession        Reason = "session-invalid"        // the host has no valid session
+	ReasonShutdown       Reason = "shutting-down"          // the host is stopping
+	ReasonBadRequest     Reason = "bad-request"            // the request is malformed
+	ReasonNoRoute        Reason = "no-route"               // no service matches
+	ReasonNoKey          Reason = "no-key"                 // the request lacks the key of its service
+	ReasonBodyTooLarge   Reason = "body-too-large"         // the body exceeds its cap
+	ReasonHeaderTooLarge Reason = "header-too-large"       // the header exceeds its cap
+	ReasonNoBackend      Reason = "no-backend"             // no backend server can serve the request now
+	ReasonMoved          Reason = "moved"                  // the sender's routing table is not current
+	ReasonNotConfirmed   Reason = "not-confirmed"          // the owner has not confirmed its order
+	ReasonOverloaded     Reason = "overloaded"             // a queue is full or a cap is reached
+	ReasonDeadline       Reason = "deadline"               // the deadline passed or cannot be met
+	ReasonCancelled      Reason = "cancelled"              // the caller went away
+	ReasonConnect        Reason = "connect-failed"         // no connection was obtained
+	ReasonConnectionLost Reason = "connection-lost"        // the connection broke after it was obtained
+	ReasonForeignAnswer  Reason = "foreign-answer"         // the answer belongs to another request
+	ReasonBackendRefused Reason = "refused-by-backend"     // the backend server refused the request
+	ReasonBadAnswer      Reason = "answer-without-verdict" // a relayed answer lacks its verdict
+)
+
+// Refuse returns an error for a request that did not run.
+func Refuse(status int, reason Reason, detail string) *Error {
+	return &Error{Verdict: NotRun, Status: status, Reason: reason, Detail: detail}
+}
+
+// Unavailable returns a 503 error for a request that did not run.
+func Unavailable(reason Reason, detail string) *Error {
+	return Refuse(http.StatusServiceUnavailable, reason, detail)
+}
--- a/internal/wire/backend.go
+++ b/internal/wire/backend.go
@@ -91,3 +91,7 @@
 	Epoch       uint64  `json:"epoch"`
 	Slices      []Range `json:"slices"`
 }
+
+// HeaderHash carries the key hash on the relay hop, so that the dispatcher
+// finds the slice in its own table even after a split.
+const HeaderHash = "Agatestep-Hash"
