Add the replicated log and its disk storage

Cause: the control group needs a replicated log and durable storage.

Ruled out: bbolt as storage, because it maps its file as shared memory, and library implementations of consensus, which the project excludes.

--- /dev/null
+++ b/internal/logstore/record.go
@@ -0,0 +1,143 @@
+package logstore
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/agatestep/agatestep/internal/replication"
+)
+
+// A record is a header of magic, payload length, payload checksum and header
+// checksum (little-endian uint32 each), followed by the payload in msgpack. The
+// header has its own checksum so that a damaged length is not mistaken for a
+// record that the end of the file cuts short.
+const (
+	headerBytes    = 16
+	recordMagic    = 0x4c475431
+	maxRecordBytes = 1 << 30
+	// sectorBytes is the unit that a disk writes as a whole.
+	sectorBytes = 512
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+var (
+	errShort = errors.New("record is cut short")
+	errBad   = errors.New("record has a wrong checksum")
+)
+
+// logRecord is the payload of a record of the log: one Append.
+type logRecord struct {
+	HardState replication.HardState
+	// Reset is set in the first record of a segment that a snapshot began: the
+	// log then starts anew after the entry at Base.
+	Reset   bool
+	Base    uint64
+	Entries []replication.Entry
+}
+
+func encodePayload(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, err
+	}
+	if buf.Len() > maxRecordBytes {
+		return nil, fmt.Errorf("record of %d bytes exceeds the limit of %d", buf.Len(), maxRecordBytes)
+	}
+	return buf.Bytes(), nil
+}
+
+func decodePayload(payload []byte, v any) error {
+	r := bytes.NewReader(payload)
+	if err := msgpack.NewDecoder(r).Decode(v); err != nil {
+		return err
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		return errors.New("trailing bytes")
+	}
+	return nil
+}
+
+// encodeRecord frames the encoding of v.
+func encodeRecord(v any) ([]byte, error) {
+	payload, err := encodePayload(v)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]byte, headerBytes, headerBytes+len(payload))
+	binary.LittleEndian.PutUint32(out[0:], recordMagic)
+	binary.LittleEndian.PutUint32(out[4:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(out[8:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(out[12:], crc32.Checksum(out[:12], castagnoli))
+	return append(out, payload...), nil
+}
+
+// validHeader returns the payload length if data begins with a valid header.
+func validHeader(data []byte) (int, bool) {
+	if len(data) < headerBytes || binary.LittleEndian.Uint32(data) != recordMagic ||
+		binary.LittleEndian.Uint32(data[12:]) != crc32.Checksum(data[:12], castagnoli) {
+		return 0, false
+	}
+	n := binary.LittleEndian.Uint32(data[4:])
+	return int(n), n <= maxRecordBytes
+}
+
+// nextRecord returns the payload of the record that data begins with, and the
+// size of the record. It fails with errShort or errBad.
+func nextRecord(data []byte) (payload []byte, size int, err error) {
+	if len(data) < headerBytes {
+		return nil, 0, errShort
+	}
+	n, ok := validHeader(data)
+	if !ok {
+		return nil, 0, errBad
+	}
+	size = headerBytes + n
+	if size > len(data) {
+		return nil, 0, errShort
+	}
+	payload = data[headerBytes:size]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[8:]) {
+		return nil, size, errBad
+	}
+	return payload, size, nil
+}
+
+// isTorn reports whether the bad record at offset can be the remains of a write
+// that a crash interrupted. Each record is synced before the next is written,
+// so a torn record is the last one, and it is either cut short or has a sector
+// that was never written and reads as zeros.
+func isTorn(data []byte, offset int) bool {
+	rest := data[offset:]
+	if n, ok := validHeader(rest); ok {
+		size := headerBytes + n
+		return size > len(rest) || size == len(rest) && hasZeroSector(data, offset)
+	}
+	for i := 1; i+headerBytes <= len(rest); i++ {
+		if n, ok := validHeader(rest[i:]); ok && i+headerBytes+n <= len(rest) {
+			return false // a later record follows
+		}
+	}
+	return len(rest) < headerBytes || hasZeroSector(data, offset)
+}
+
+// hasZeroSector reports whether a sector's part of data[offset:] is all zeros.
+func hasZeroSector(data []byte, offset int) bool {
+	for start := offset; start < len(data); {
+		end := min((start/sectorBytes+1)*sectorBytes, len(data))
+		if len(bytes.Trim(data[start:end], "\x00")) == 0 {
+			return true
+		}
+		start = end
+	}
+	return false
+}
--- /dev/null
+++ b/internal/logstore/store.go
@@ -0,0 +1,243 @@
+package logstore
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	jujuerrors "github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/replication"
+)
+
+const (
+	identityName   = "identity.json"
+	lockName       = "lock"
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+	// DefaultSegmentBytes is the size at which a new segment is begun. Segments
+	// are read into memory as a whole when the store is opened.
+	DefaultSegmentBytes = 4 << 20
+)
+
+// Errors of Open and of writes.
+var (
+	// ErrLocked means that another process uses the folder.
+	ErrLocked = errors.New("folder is in use by another process")
+	// ErrForeign means that the folder belongs to another group or host.
+	ErrForeign = errors.New("folder belongs to another replica")
+	// ErrDamaged means that stored data is wrong other than at the torn end of
+	// the log. The replica must be replaced.
+	ErrDamaged = errors.New("stored data is damaged")
+	// ErrFailed means that an earlier write or sync failed.
+	ErrFailed = errors.New("store refuses writes after a failed write")
+	// ErrClosed means that the store was closed.
+	ErrClosed = errors.New("store is closed")
+)
+
+// Options configures a store.
+type Options struct {
+	Group        string // group id; a folder of another group is refused
+	Host         string
+	SegmentBytes int64 // zero means DefaultSegmentBytes
+
+	create createFunc // replaced by tests
+}
+
+// Store is the disk storage of one replica. It is not safe for concurrent use,
+// except that only one process can open a folder.
+type Store struct {
+	dir      string
+	opts     Options
+	identity replication.Identity
+	lock     *os.File
+	segments []uint64
+	active   file
+	size     int64
+	written  int64
+	hard     replication.HardState
+	tail     *tail
+	err      error
+}
+
+var _ replication.Storage = (*Store)(nil)
+
+// Open opens the store in dir, which is created if absent, and locks it.
+func Open(dir string, o Options) (*Store, error) {
+	if o.Group == "" || o.Host == "" || strings.Contains(o.Host, "/") {
+		return nil, fmt.Errorf("logstore: group id %q and host %q must be set, and the host must not contain a slash", o.Group, o.Host)
+	}
+	if o.SegmentBytes <= 0 {
+		o.SegmentBytes = DefaultSegmentBytes
+	}
+	if o.create == nil {
+		o.create = createFile
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, jujuerrors.Annotate(err, "logstore")
+	}
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return nil, jujuerrors.Annotate(err, "logstore")
+	}
+	s := &Store{dir: dir, opts: o, lock: lock}
+	if err := s.open(); err != nil {
+		s.Close()
+		return nil, jujuerrors.Annotate(err, "logstore")
+	}
+	return s, nil
+}
+
+func (s *Store) open() error {
+	var err error
+	if s.identity, err = loadIdentity(s.dir, s.opts); err != nil {
+		return err
+	}
+	if s.segments, err = numberedFiles(s.dir, segmentPrefix); err != nil {
+		return err
+	}
+	state, trimmed, err := s.read()
+	if err != nil {
+		return err
+	}
+	s.hard = state.HardState
+	s.tail = &tail{base: state.Snapshot.Index, entries: state.Entries}
+	if trimmed {
+		return nil
+	}
+	return s.trim(state.Snapshot, state.Entries)
+}
+
+// Identity returns the identity that was made when the folder was first opened.
+func (s *Store) Identity() replication.Identity { return s.identity }
+
+// Load reads the durable state from the disk.
+func (s *Store) Load() (replication.Persisted, error) {
+	if s.err != nil {
+		return replication.Persisted{}, s.err
+	}
+	state, _, err := s.read()
+	return state, jujuerrors.Annotate(err, "logstore")
+}
+
+// Append writes one record with the hard state and the entries and syncs it.
+func (s *Store) Append(hs replication.HardState, entries []replication.Entry) error {
+	if err := s.tail.check(entries); err != nil {
+		return s.fail(err)
+	}
+	if err := s.write(logRecord{HardState: hs, Entries: entries}); err != nil {
+		return err
+	}
+	s.hard = hs
+	s.tail.add(entries)
+	return nil
+}
+
+// write appends a record to the active segment, or to a new one when that is
+// full, and syncs it.
+func (s *Store) write(rec logRecord) error {
+	if s.err != nil {
+		return s.err
+	}
+	data, err := encodeRecord(rec)
+	if err != nil {
+		return s.fail(err)
+	}
+	if s.active == nil || s.size >= s.opts.SegmentBytes {
+		if err := s.beginSegment(); err != nil {
+			return s.fail(err)
+		}
+	}
+	if _, err := s.active.Write(data); err != nil {
+		return s.fail(err)
+	}
+	if err := s.active.Sync(); err != nil {
+		return s.fail(err)
+	}
+	s.size += int64(len(data))
+	s.written += int64(len(data))
+	return nil
+}
+
+// beginSegment opens a new segment. The folder is synced before the first
+// record is written, so that the segment cannot vanish after that record was
+// confirmed.
+func (s *Store) beginSegment() error {
+	next := uint64(1)
+	if n := len(s.segments); n > 0 {
+		next = s.segments[n-1] + 1
+	}
+	f, err := s.opts.create(numberedName(s.dir, segmentPrefix, next))
+	if err != nil {
+		return err
+	}
+	if s.active != nil {
+		s.active.Close()
+	}
+	s.active, s.size = f, 0
+	s.segments = append(s.segments, next)
+	return syncFolder(s.dir)
+}
+
+// fail makes the store refuse everything from now on.
+func (s *Store) fail(err error) error {
+	if s.err == nil {
+		s.err = fmt.Errorf("logstore: %w: %w", ErrFailed, err)
+	}
+	return s.err
+}
+
+// BytesWritten returns the number of bytes written to the log since Open.
+func (s *Store) BytesWritten() int64 { return s.written }
+
+// Close releases the folder. Nothing is flushed: all that was confirmed is synced.
+func (s *Store) Close() error {
+	if s.lock == nil {
+		return nil
+	}
+	if s.active != nil {
+		s.active.Close()
+	}
+	if s.err == nil {
+		s.err = ErrClosed
+	}
+	err := s.lock.Close() // releases the lock
+	s.lock = nil
+	return jujuerrors.Trace(err)
+}
+
+// tail knows the terms of the stored entries, which decide what a snapshot
+// keeps, and holds the entries themselves until a snapshot covers them.
+type tail struct {
+	base    uint64
+	entries []replication.Entry
+}
+
+// check refuses entries that would leave a gap or reach behind the snapshot.
+func (t *tail) check(entries []replication.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	first := entries[0].Index
+	if first <= t.base || first > t.base+uint64(len(t.entries))+1 {
+		return fmt.Errorf("entry %d does not continue the log of entries %d to %d", first, t.base+1, t.base+uint64(len(t.entries)))
+	}
+	return replication.CheckEntries(first-1, entries)
+}
+
+func (t *tail) add(entries []replication.Entry) {
+	if len(entries) > 0 {
+		t.entries = append(t.entries[:entries[0].Index-t.base-1], entries...)
+	}
+}
+
+// after returns what a snapshot at index and term leaves of the log.
+func (t *tail) after(index, term uint64) []replication.Entry {
+	at := index - t.base
+	if index <= t.base || at > uint64(len(t.entries)) || t.entries[at-1].Term != term {
+		return nil
+	}
+	return slices.Clone(t.entries[at:])
+}
--- /dev/null
+++ b/internal/replication/core.go
@@ -0,0 +1,229 @@
+package replication
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	// maxAppendBytes bounds the entries of one append message, so that a
+	// follower that is far behind does not delay heartbeats on the connection.
+	maxAppendBytes = 1 << 20
+	// maxInflightEntries bounds the entries sent to a follower ahead of its
+	// acknowledgements.
+	maxInflightEntries = 4096
+	// maxUncommittedEntries bounds the proposals that a leader takes while it
+	// cannot commit; without it, memory grows for as long as a majority is slow.
+	maxUncommittedEntries = 16384
+	// entryOverheadBytes is the approximate encoded size of an entry's header.
+	entryOverheadBytes = 16
+)
+
+type role uint8
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+// CoreConfig configures a Core.
+type CoreConfig struct {
+	ID    ReplicaID
+	Group string
+	Seed  uint64
+	// A follower starts an election after a random number of ticks between
+	// ElectionTicksMin and ElectionTicksMax without a leader, and refuses votes
+	// for ElectionTicksMin ticks after it heard from one.
+	ElectionTicksMin int
+	ElectionTicksMax int
+	HeartbeatTicks   int
+}
+
+func (c CoreConfig) validate() error {
+	if c.ID == "" || c.Group == "" {
+		return errors.New("replication: replica id and group id must be set")
+	}
+	if c.HeartbeatTicks < 1 || c.ElectionTicksMin < 3*c.HeartbeatTicks || c.ElectionTicksMax <= c.ElectionTicksMin {
+		return fmt.Errorf("replication: heartbeat %d and election %d-%d ticks: need heartbeat >= 1, election minimum >= 3 heartbeats and maximum > minimum",
+			c.HeartbeatTicks, c.ElectionTicksMin, c.ElectionTicksMax)
+	}
+	return nil
+}
+
+// Core is the protocol state of one replica. It is not safe for concurrent use.
+type Core struct {
+	cfg  CoreConfig
+	rand *rand.Rand
+
+	role   role
+	term   uint64
+	vote   ReplicaID
+	leader ReplicaID
+
+	log      *memoryLog
+	snapshot Snapshot
+	commit   uint64
+	handed   uint64 // last committed entry that Ready returned
+
+	electionElapsed int
+	electionTimeout int
+	// quiet counts the ticks since this replica heard from a leader, was one,
+	// or started. Votes are refused while it is below ElectionTicksMin: within
+	// that time a leader may hold a lease that this replica acknowledged.
+	quiet            int
+	heartbeatElapsed int
+	votes            map[ReplicaID]bool
+
+	progress map[ReplicaID]*progress
+	round    uint64
+	reads    []pendingRead
+	transfer *transfer
+
+	saved    HardState // as of the last Ready
+	restored *Snapshot // received and not yet returned by Ready
+	outbox   []Message
+	done     []ReadState
+}
+
+// ReadState answers a read: the state machine may serve it once it has applied
+// the entry at Index.
+type ReadState struct {
+	ID    uint64
+	Index uint64
+}
+
+// Ready is what the driver must do, in the order of the fields.
+type Ready struct {
+	// Early may be sent before the sync: it promises nothing of this replica.
+	Early []Message
+	// Snapshot was received; it is to be saved and restored.
+	Snapshot *Snapshot
+	// Sync is set when HardState and Entries are to be synced.
+	Sync      bool
+	HardState HardState
+	Entries   []Entry
+	// Messages are to be sent after the sync.
+	Messages []Message
+	// Committed are to be applied.
+	Committed []Entry
+	Reads     []ReadState
+}
+
+func (r Ready) empty() bool {
+	return len(r.Early) == 0 && r.Snapshot == nil && !r.Sync && len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
+}
+
+// NewCore returns a follower with the given durable state.
+func NewCore(cfg CoreConfig, p Persisted) (*Core, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	log, err := newMemoryLog(p.Snapshot, p.Entries)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), log: log, snapshot: p.Snapshot,
+		term: p.HardState.Term, vote: p.HardState.Vote}
+	// A crash between saving a received snapshot and the hard state leaves a
+	// term below the log's; no vote can have been sent in the later term.
+	if last := max(log.lastTerm(), p.Snapshot.Term); last > c.term {
+		c.term, c.vote = last, ""
+	}
+	c.handed = p.Snapshot.Index
+	c.commit = min(max(p.HardState.Commit, p.Snapshot.Index), log.lastIndex())
+	c.saved = c.hardState()
+	c.resetTimeout()
+	return c, nil
+}
+
+func (c *Core) hardState() HardState { return HardState{c.term, c.vote, c.commit} }
+
+func (c *Core) resetTimeout() {
+	c.electionElapsed = 0
+	c.electionTimeout = c.cfg.ElectionTicksMin + c.rand.IntN(c.cfg.ElectionTicksMax-c.cfg.ElectionTicksMin+1)
+}
+
+// Ready returns the work that has accumulated. After doing it, the driver calls
+// Advance.
+func (c *Core) Ready() Ready {
+	c.startReads()
+	rd := Ready{Snapshot: c.restored, HardState: c.hardState(), Reads: c.done}
+	rd.Entries = c.log.between(c.log.synced, c.log.lastIndex())
+	voted := c.term != c.saved.Term || c.vote != c.saved.Vote
+	rd.Sync = voted || len(rd.Entries) > 0
+	for _, m := range c.outbox {
+		if !voted && (m.Type == MessageAppend || m.Type == MessageHeartbeat) {
+			rd.Early = append(rd.Early, m)
+		} else {
+			rd.Messages = append(rd.Messages, m)
+		}
+	}
+	rd.Committed = c.log.between(c.handed, c.commit)
+	c.handed = c.commit
+	c.outbox, c.restored, c.done = nil, nil, nil
+	return rd
+}
+
+// Advance reports that the work of rd is done and durable.
+func (c *Core) Advance(rd Ready) {
+	if rd.Sync {
+		c.saved = rd.HardState
+	}
+	if n := len(rd.Entries); n > 0 {
+		c.log.synced = rd.Entries[n-1].Index
+	}
+	if c.role == leader {
+		c.progress[c.cfg.ID].match = c.log.synced
+		c.advanceCommit()
+	}
+}
+
+// Compact tells the core that a snapshot of the state machine was saved. It
+// keeps up to keep entries before the snapshot for followers that lag a little.
+func (c *Core) Compact(s Snapshot, keep uint64) {
+	c.snapshot = s
+	if s.Index > keep {
+		c.log.compact(s.Index - keep)
+	}
+}
+
+// snapshotAt returns the position and members for a snapshot of the state at index.
+func (c *Core) snapshotAt(index uint64) Snapshot {
+	term, _ := c.log.term(index)
+	return Snapshot{Index: index, Term: term, Members: c.log.configAt(index)}
+}
+
+func (c *Core) members() []Member { return c.log.config().members }
+
+func (c *Core) member(id ReplicaID) (Member, bool) {
+	members := c.members()
+	i := slices.IndexFunc(members, func(m Member) bool { return m.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return members[i], true
+}
+
+// quorumOf returns the highest value that a majority of the voters reaches.
+func (c *Core) quorumOf(value func(ReplicaID) uint64) uint64 {
+	var values []uint64
+	for _, m := range c.members() {
+		if m.Voter {
+			values = append(values, value(m.ID))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+func (c *Core) send(m Message) {
+	m.Group, m.From, m.Term = c.cfg.Group, c.cfg.ID, max(m.Term, c.term)
+	c.outbox = append(c.outbox, m)
+}
--- /dev/null
+++ b/internal/replication/leader.go
@@ -0,0 +1,288 @@
+package replication
+
+// progress is what a leader knows of a member.
+type progress struct {
+	match uint64 // highest entry known to be durable there
+	next  uint64 // next entry to send
+	// probing is set while the end of the member's log is unknown; then one
+	// append at a time is sent, and paused is set while it is unanswered.
+	probing bool
+	paused  bool
+	// snapshot is the index of a snapshot that was sent and not acknowledged.
+	snapshot      uint64
+	snapshotTicks int
+	round         uint64 // last heartbeat that the member acknowledged
+	silent        int    // ticks since the member's last message
+}
+
+type pendingRead struct {
+	id    uint64
+	round uint64 // zero until a heartbeat was sent for it
+	index uint64
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader, c.votes = leader, c.cfg.ID, nil
+	c.progress = map[ReplicaID]*progress{}
+	c.heartbeatElapsed = 0
+	c.syncProgress()
+	c.appendOwn(EntryNoop, nil)
+	c.newRound()
+}
+
+// syncProgress makes the progress records follow the member list.
+func (c *Core) syncProgress() {
+	current := map[ReplicaID]*progress{}
+	for _, m := range c.members() {
+		p := c.progress[m.ID]
+		if p == nil {
+			p = &progress{next: c.log.lastIndex() + 1, probing: true}
+		}
+		current[m.ID] = p
+	}
+	if current[c.cfg.ID] == nil { // a leader that is being removed
+		current[c.cfg.ID] = &progress{}
+	}
+	c.progress = current
+}
+
+func (c *Core) appendOwn(kind EntryKind, data []byte) uint64 {
+	index := c.log.lastIndex() + 1
+	// Only a member list can fail to decode, and this leader encoded it.
+	if err := c.log.append([]Entry{{Index: index, Term: c.term, Kind: kind, Data: data}}); err != nil {
+		panic(err)
+	}
+	return index
+}
+
+// newRound starts a heartbeat round with every member.
+func (c *Core) newRound() {
+	c.round++
+	c.progress[c.cfg.ID].round = c.round
+	for _, m := range c.members() {
+		if m.ID != c.cfg.ID {
+			p := c.progress[m.ID]
+			c.send(Message{Type: MessageHeartbeat, To: m.ID, Round: c.round, Commit: min(p.match, c.commit)})
+			c.replicate(m.ID, false)
+		}
+	}
+}
+
+func (c *Core) replicateAll() {
+	for _, m := range c.members() {
+		if m.ID != c.cfg.ID {
+			c.replicate(m.ID, false)
+		}
+	}
+}
+
+// replicate sends what the member lacks, as far as the window allows. With
+// probe set, it sends at least an empty append, which reveals lost messages.
+func (c *Core) replicate(to ReplicaID, probe bool) {
+	p := c.progress[to]
+	for p.snapshot == 0 && !(p.probing && p.paused) {
+		term, ok := c.log.term(p.next - 1)
+		if !ok {
+			c.sendSnapshot(to, p)
+			return
+		}
+		var entries []Entry
+		if p.probing || p.next-p.match <= maxInflightEntries {
+			entries = c.log.batch(p.next-1, maxAppendBytes)
+		}
+		if len(entries) == 0 && !probe {
+			return
+		}
+		c.send(Message{Type: MessageAppend, To: to, Index: p.next - 1, LogTerm: term,
+			Commit: c.commit, Round: c.round, Entries: entries})
+		p.paused = p.probing
+		if !p.probing {
+			p.next += uint64(len(entries))
+		}
+		probe = false
+	}
+}
+
+func (c *Core) sendSnapshot(to ReplicaID, p *progress) {
+	s := c.snapshot
+	p.snapshot, p.snapshotTicks = s.Index, 0
+	c.send(Message{Type: MessageSnapshot, To: to, Round: c.round, Snapshot: &s})
+}
+
+func (c *Core) handleAppendReply(m Message) {
+	p := c.heard(m)
+	if p == nil || m.Index > c.log.lastIndex() {
+		return
+	}
+	if m.Reject {
+		if m.Index <= p.match || p.probing && m.Index != p.next-1 {
+			return // an answer to an earlier message
+		}
+		p.probing, p.paused = true, false
+		p.next = max(min(m.Index, m.Hint+1), p.match+1)
+		c.replicate(m.From, true)
+		return
+	}
+	if p.snapshot > 0 && m.Index >= p.snapshot {
+		p.snapshot = 0
+		p.next = m.Index + 1
+	}
+	if m.Index < p.match {
+		return
+	}
+	p.match = m.Index
+	if p.probing {
+		p.probing, p.paused, p.next = false, false, p.match+1
+	}
+	p.next = max(p.next, p.match+1)
+	c.advanceCommit()
+	if c.role == leader {
+		c.replicate(m.From, false)
+	}
+}
+
+func (c *Core) handleHeartbeatReply(m Message) {
+	p := c.heard(m)
+	if p == nil {
+		return
+	}
+	p.paused = false
+	if p.match < c.log.lastIndex() {
+		c.replicate(m.From, true)
+	}
+}
+
+// heard records a sign of life of a member; it returns nil for others.
+func (c *Core) heard(m Message) *progress {
+	p := c.progress[m.From]
+	if c.role != leader || p == nil {
+		return nil
+	}
+	p.silent = 0
+	if m.Round <= c.round {
+		p.round = max(p.round, m.Round)
+	}
+	c.finishReads()
+	return p
+}
+
+// advanceCommit commits what a majority has synced. Entries of earlier terms
+// are committed only together with one of the leader's own term.
+func (c *Core) advanceCommit() {
+	index := c.quorumOf(func(id ReplicaID) uint64 { return c.progress[id].match })
+	if index <= c.commit || !c.log.matches(index, c.term) {
+		return
+	}
+	c.commit = index
+	if m, ok := c.member(c.cfg.ID); c.log.config().index <= c.commit && (!ok || !m.Voter) {
+		c.newRound() // spreads the commit index before the removed leader leaves
+		c.becomeFollower(c.term, "")
+	}
+}
+
+func (c *Core) tickLeader() {
+	for id, p := range c.progress {
+		if id == c.cfg.ID {
+			continue
+		}
+		p.silent++
+		if p.snapshot > 0 {
+			if p.snapshotTicks++; p.snapshotTicks >= c.cfg.ElectionTicksMax {
+				p.snapshot, p.next, p.probing, p.paused = 0, p.match+1, true, false
+			}
+		}
+	}
+	if !c.quorumAnswers(c.members()) {
+		c.becomeFollower(c.term, "")
+		return
+	}
+	if c.heartbeatElapsed++; c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
+		c.heartbeatElapsed = 0
+		c.newRound()
+	}
+	c.tickTransfer()
+}
+
+// quorumAnswers reports whether a majority of the voters answered lately.
+func (c *Core) quorumAnswers(members []Member) bool {
+	voters, answering := 0, 0
+	for _, m := range members {
+		if m.Voter {
+			voters++
+			if p := c.progress[m.ID]; p != nil && p.silent < c.cfg.ElectionTicksMax {
+				answering++
+			}
+		}
+	}
+	return answering > voters/2
+}
+
+// committedOwnTerm reports whether the leader has committed an entry of its
+// term; before that, its commit index may lag behind an earlier leader's.
+func (c *Core) committedOwnTerm() bool {
+	return c.role == leader && c.log.matches(c.commit, c.term)
+}
+
+// leaseRound returns the latest heartbeat round that a majority acknowledged,
+// or zero if the leader must not hold a lease.
+func (c *Core) leaseRound() uint64 {
+	if !c.committedOwnTerm() {
+		return 0
+	}
+	if c.transfer != nil {
+		return c.transfer.leaseRound
+	}
+	return c.quorumRound()
+}
+
+func (c *Core) quorumRound() uint64 {
+	return c.quorumOf(func(id ReplicaID) uint64 { return c.progress[id].round })
+}
+
+// Propose appends commands and returns the index of the first.
+func (c *Core) Propose(commands ...[]byte) (uint64, error) {
+	if c.role != leader {
+		return 0, notLeader(c.leader)
+	}
+	if c.log.lastIndex()-c.commit+uint64(len(commands)) > maxUncommittedEntries {
+		return 0, ErrProposalDropped
+	}
+	first := c.log.lastIndex() + 1
+	for _, data := range commands {
+		c.appendOwn(EntryCommand, data)
+	}
+	c.replicateAll()
+	return first, nil
+}
+
+// ReadIndex asks for an index that is safe to read at; Ready returns it under
+// the same id once a majority has confirmed this leader.
+func (c *Core) ReadIndex(id uint64) error {
+	if c.role != leader {
+		return notLeader(c.leader)
+	}
+	c.reads = append(c.reads, pendingRead{id: id})
+	return nil
+}
+
+// startReads starts one heartbeat round for all reads that have none.
+func (c *Core) startReads() {
+	if n := len(c.reads); n == 0 || c.reads[n-1].round > 0 || !c.committedOwnTerm() {
+		return
+	}
+	c.newRound()
+	for i := range c.reads {
+		if c.reads[i].round == 0 {
+			c.reads[i].round, c.reads[i].index = c.round, c.commit
+		}
+	}
+	c.finishReads()
+}
+
+func (c *Core) finishReads() {
+	confirmed := c.quorumRound()
+	for len(c.reads) > 0 && c.reads[0].round > 0 && c.reads[0].round <= confirmed {
+		c.done = append(c.done, ReadState{c.reads[0].id, c.reads[0].index})
+		c.reads = c.reads[1:]
+	}
+}
--- /dev/null
+++ b/internal/replication/message.go
@@ -0,0 +1,125 @@
+package replication
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MessageType is the type of a message between replicas.
+type MessageType uint8
+
+// The types of messages.
+const (
+	MessagePreVote MessageType = iota + 1
+	MessagePreVoteReply
+	MessageVote
+	MessageVoteReply
+	MessageAppend
+	MessageAppendReply
+	MessageHeartbeat
+	MessageHeartbeatReply
+	MessageSnapshot
+	MessageTimeoutNow
+)
+
+// Message is sent from one replica to another. The meaning of the fields
+// depends on the type.
+type Message struct {
+	Type  MessageType
+	Group string
+	From  ReplicaID
+	To    ReplicaID
+	Term  uint64
+	// Index and LogTerm are the position before Entries (append), the last
+	// position of the log (votes), or the acknowledged index (append reply).
+	Index   uint64
+	LogTerm uint64
+	Commit  uint64
+	// Round numbers the heartbeats of a leader; replies return it.
+	Round  uint64
+	Reject bool
+	// Hint is the index that a rejecting follower suggests to continue after.
+	Hint uint64
+	// Transfer marks a vote request made at the wish of the leader.
+	Transfer bool
+	Entries  []Entry
+	Snapshot *Snapshot
+}
+
+// Encode returns the message in msgpack.
+func (m Message) Encode() ([]byte, error) { return marshal(m) }
+
+// Decode parses and checks an encoded message.
+func Decode(data []byte) (Message, error) {
+	var m Message
+	if err := unmarshal(data, &m); err != nil {
+		return Message{}, fmt.Errorf("replication: decoding message: %w", err)
+	}
+	if err := m.validate(); err != nil {
+		return Message{}, err
+	}
+	return m, nil
+}
+
+func (m Message) validate() error {
+	if m.Type < MessagePreVote || m.Type > MessageTimeoutNow {
+		return fmt.Errorf("replication: unknown message type %d", m.Type)
+	}
+	if (m.Type == MessageSnapshot) != (m.Snapshot != nil) {
+		return fmt.Errorf("replication: message type %d with snapshot %t", m.Type, m.Snapshot != nil)
+	}
+	if m.Snapshot != nil && (m.Snapshot.Index == 0 || len(m.Snapshot.Members) == 0) {
+		return errors.New("replication: snapshot without index or members")
+	}
+	return CheckEntries(m.Index, m.Entries)
+}
+
+// CheckEntries verifies that the entries follow index without a gap, that terms
+// do not fall, and that kinds are known.
+func CheckEntries(index uint64, entries []Entry) error {
+	term := uint64(0)
+	for _, e := range entries {
+		index++
+		if e.Index != index || e.Term < term || e.Kind < EntryCommand || e.Kind > EntryMembers {
+			return fmt.Errorf("replication: entry %d (term %d, kind %d) is out of order or of unknown kind", e.Index, e.Term, e.Kind)
+		}
+		term = e.Term
+	}
+	return nil
+}
+
+// EncodeMembers returns the data of an EntryMembers entry.
+func EncodeMembers(members []Member) ([]byte, error) { return marshal(members) }
+
+// DecodeMembers parses the data of an EntryMembers entry.
+func DecodeMembers(data []byte) ([]Member, error) {
+	var members []Member
+	err := unmarshal(data, &members)
+	return members, err
+}
+
+// marshal writes structs as arrays, which leaves field names out of every
+// message; fields may therefore only be added at the end.
+func marshal(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	err := enc.Encode(v)
+	return buf.Bytes(), err
+}
+
+func unmarshal(data []byte, v any) error {
+	r := bytes.NewReader(data)
+	if err := msgpack.NewDecoder(r).Decode(v); err != nil {
+		return err
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		return errors.New("trailing bytes")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replication/node.go
@@ -0,0 +1,187 @@
+package replication
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	// inboxMessages is the number of received messages that may wait; further
+	// ones are dropped, as if the network had lost them.
+	inboxMessages = 4096
+	// maxBatch bounds the requests and messages taken in one go, so that ticks
+	// are not delayed without limit.
+	maxBatch = 1024
+)
+
+// Node runs one replica. One goroutine owns the protocol state and calls the
+// state machine; the methods are safe for concurrent use.
+type Node struct {
+	driver   *driver
+	inbox    chan Message
+	requests chan *request
+	stop     chan struct{}
+	stopOnce sync.Once
+	stopped  chan struct{}
+}
+
+// Start starts a replica on its store. A replica with an empty store waits
+// until it is bootstrapped and restarted, or added to a group as a learner.
+func Start(cfg Config) (*Node, error) {
+	d, err := newDriver(cfg)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{driver: d, inbox: make(chan Message, inboxMessages), requests: make(chan *request, maxBatch),
+		stop: make(chan struct{}), stopped: make(chan struct{})}
+	ticks, release := cfg.Ticks, func() {}
+	if ticks == nil {
+		ticker := time.NewTicker(d.cfg.Tick)
+		ticks, release = ticker.C, ticker.Stop
+	}
+	go func() {
+		defer release()
+		n.run(ticks)
+	}()
+	return n, nil
+}
+
+func (n *Node) run(ticks <-chan time.Time) {
+	defer close(n.stopped)
+	for {
+		select {
+		case <-n.stop:
+			n.driver.stop()
+			return
+		case <-ticks:
+			n.driver.tick()
+		case m := <-n.inbox:
+			n.driver.step(m)
+			n.drainInbox()
+		case req := <-n.requests:
+			n.driver.accept(n.drainRequests(req))
+		}
+		n.driver.process()
+	}
+}
+
+func (n *Node) drainInbox() {
+	for range maxBatch {
+		select {
+		case m := <-n.inbox:
+			n.driver.step(m)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) drainRequests(first *request) []*request {
+	batch := []*request{first}
+	for len(batch) < maxBatch {
+		select {
+		case req := <-n.requests:
+			batch = append(batch, req)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// do hands a request to the goroutine and waits for the outcome. dropped and
+// unknown are the errors for a caller that gives up before and after the
+// goroutine took the request.
+func (n *Node) do(req *request, dropped, unknown error) outcome {
+	select {
+	case n.requests <- req:
+	case <-n.stopped:
+		return outcome{err: ErrStopped}
+	case <-req.ctx.Done():
+		return outcome{err: fmt.Errorf("%w: %w", dropped, req.ctx.Err())}
+	}
+	select {
+	case o := <-req.done:
+		return o
+	case <-n.stopped:
+	case <-req.ctx.Done():
+	}
+	if req.claimed.CompareAndSwap(false, true) {
+		if req.ctx.Err() != nil {
+			return outcome{err: fmt.Errorf("%w: %w", dropped, req.ctx.Err())}
+		}
+		return outcome{err: ErrStopped}
+	}
+	select {
+	case o := <-req.done:
+		return o
+	default:
+		return outcome{err: fmt.Errorf("%w: %w", unknown, req.ctx.Err())}
+	}
+}
+
+// Propose commits a command and returns its index and the result of applying
+// it. ErrNotLeader, ErrStopped and ErrProposalDropped mean that it is certainly
+// not committed; ErrOutcomeUnknown means that it may be.
+func (n *Node) Propose(ctx context.Context, command []byte) (uint64, []byte, error) {
+	req := newRequest(ctx, requestPropose)
+	req.data = command
+	o := n.do(req, ErrProposalDropped, ErrOutcomeUnknown)
+	return o.index, o.result, o.err
+}
+
+// ReadIndex returns an index that every command acknowledged before the call
+// is at or below. On return this leader's state machine has applied it.
+func (n *Node) ReadIndex(ctx context.Context) (uint64, error) {
+	o := n.do(newRequest(ctx, requestRead), errReadGivenUp, errReadGivenUp)
+	return o.index, o.err
+}
+
+// AddLearner adds a replica that receives the log without a vote.
+func (n *Node) AddLearner(ctx context.Context, id ReplicaID) error {
+	return n.changeMembers(ctx, ChangeAddLearner, id)
+}
+
+// Promote makes a learner a voter; it waits until the learner has caught up.
+func (n *Node) Promote(ctx context.Context, id ReplicaID) error {
+	return n.changeMembers(ctx, ChangePromote, id)
+}
+
+// Remove removes a replica from the group.
+func (n *Node) Remove(ctx context.Context, id ReplicaID) error {
+	return n.changeMembers(ctx, ChangeRemove, id)
+}
+
+func (n *Node) changeMembers(ctx context.Context, kind ChangeKind, id ReplicaID) error {
+	req := newRequest(ctx, requestChange)
+	req.change, req.id = kind, id
+	return n.do(req, ErrProposalDropped, ErrOutcomeUnknown).err
+}
+
+// TransferLeadership hands leadership to another voter and waits until it leads.
+func (n *Node) TransferLeadership(ctx context.Context, to ReplicaID) error {
+	req := newRequest(ctx, requestTransfer)
+	req.id = to
+	return n.do(req, ErrTransferFailed, ErrTransferFailed).err
+}
+
+// Receive takes a message from another replica. It never blocks; when the
+// replica is too slow, the message is dropped.
+func (n *Node) Receive(m Message) {
+	select {
+	case n.inbox <- m:
+	default:
+	}
+}
+
+// Status returns the present status.
+func (n *Node) Status() Status { return n.driver.currentStatus() }
+
+// Stop stops the replica and waits for its goroutine to end. It does not close
+// the store.
+func (n *Node) Stop() {
+	n.stopOnce.Do(func() { close(n.stop) })
+	<-n.stopped
+}
