--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -174,21 +174,11 @@
 	for _, f := range files {
 		sources = append(sources, service.SourceFile{Name: f.Name, Content: f.Content})
 	}
-	set, problems := service.CheckSet(sources)
-	if len(problems) > 0 {
-		return problems
+	var published []*service.File
+	for _, s := range t.Services() {
+		published = append(published, s.File)
 	}
-	var others []*service.File
-	replaced := map[string]bool{}
-	for _, f := range set.Files {
-		replaced[f.Service] = true
-	}
-	for _, published := range t.Services() {
-		if !replaced[published.File.Service] {
-			others = append(others, published.File)
-		}
-	}
-	return service.CheckFiles(append(others, set.Files...))
+	return service.CheckAgainst(sources, published)
 }
 
 func (a *api) explain(w http.ResponseWriter, r *http.Request) {
--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	reply := &ExplainReply{Revision: t.Revision}
+	reply := &ExplainReply{Revision: t.Revision()}
 	svc, prefix, ok := t.Match(r.Host, r.URL.Path)
 	if !ok {
 		reply.Refusal = fmt.Sprintf("no service matches host %q and path %q", r.Host, r.URL.Path)
@@ -80,7 +80,7 @@
 	if slice.State == table.SliceReleasing {
 		reply.State = "moving to " + slice.Next
 	}
-	if b, ok := t.Backend(name, slice.Owner); ok {
+	if b := t.Backend(name, slice.Owner); b != nil {
 		reply.Dispatcher = b.Dispatcher
 	}
 }
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -51,12 +51,14 @@
 
 // ControlStatus describes the control replica that runs in the daemon.
 type ControlStatus struct {
-	Replica string         `json:"replica"`
-	Group   string         `json:"group"`
-	Leader  string         `json:"leader"`
-	Term    uint64         `json:"term"`
-	Leading bool           `json:"leading"`
-	Applied uint64         `json:"applied"`
+	Replica string `json:"replica"`
+	Group   string `json:"group"`
+	Leader  string `json:"leader"`
+	Term    uint64 `json:"term"`
+	Leading bool   `json:"leading"`
+	Applied uint64 `json:"applied"`
+	// Error says why the replica stopped taking part, such as a failed sync.
+	Error   string         `json:"error,omitempty"`
 	Members []MemberStatus `json:"members"`
 }
 
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -64,7 +64,24 @@
 
 // Propose implements control.Proposer.
 func (r *replica) Propose(ctx context.Context, data []byte) (uint64, []byte, error) {
-	return r.node.Load().Propose(ctx, data)
+	index, result, err := r.node.Load().Propose(ctx, data)
+	return index, result, proposalError(err)
+}
+
+// proposalError translates the errors that say that a command is certainly not
+// in the log; every other error leaves that open.
+func proposalError(err error) error {
+	var notLeader replication.ErrNotLeader
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &notLeader):
+		return errors.WithType(err, control.ErrNotLeader)
+	case errors.Is(err, replication.ErrProposalDropped), errors.Is(err, replication.ErrStopped):
+		return errors.WithType(err, control.ErrDropped)
+	default:
+		return err
+	}
 }
 
 // Status implements control.Proposer.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -103,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(hard, d.settings.Shutdown.Timeout)
 	defer cancel()
 	entryDone := make(chan error, 1)
-	d.entry.BeginShutdown()
+	d.entry.StartShutdown()
 	go func() { entryDone <- d.entry.Shutdown(ctx) }()
 	closeErr := d.session.Close(ctx)
 	if closeErr != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 	Logger            *zap.Logger
 	Limits            Limits
 	Counters          *Counters
+	RelayTLS          *tls.Config // nil means that relayed requests go over plain TCP
 	// Seed makes the choice among equal backend servers repeatable.
 	Seed uint64
 }
@@ -100,7 +102,7 @@
 		cfg.Counters = &Counters{}
 	}
 	h := &Handler{cfg: cfg, counters: cfg.Counters, idle: make(chan struct{}), choosers: map[string]*chooser{},
-		relay:   forward.NewTransport(forward.TransportConfig{DialTimeout: relayDialTimeout, IdleTimeout: time.Minute}),
+		relay:   forward.NewTransport(forward.TransportConfig{DialTimeout: relayDialTimeout, IdleTimeout: time.Minute, TLS: cfg.RelayTLS}),
 		retries: balance.NewBudget(cfg.Limits.RetryRatio, cfg.Limits.Burst),
 		hedges:  balance.NewBudget(cfg.Limits.HedgeRatio, cfg.Limits.Burst)}
 	close(h.idle)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -18,6 +19,8 @@
 	DialTimeout  time.Duration
 	IdleTimeout  time.Duration
 	HeaderBytes  int64 // most header bytes of an answer
+	// TLS secures the connections when it is set; requests keep the scheme http.
+	TLS *tls.Config
 	// Opened is called for each connection opened; it may be nil.
 	Opened func()
 }
@@ -45,6 +48,11 @@
 		if cfg.Opened != nil {
 			cfg.Opened()
 		}
+		if cfg.TLS != nil {
+			if c, err = secure(ctx, c, cfg.TLS, address); err != nil {
+				return nil, err
+			}
+		}
 		return &conn{Conn: c}, nil
 	}
 	return &http.Transport{
@@ -58,6 +66,24 @@
 	}
 }
 
+// secure completes the TLS handshake before the connection is handed out, so
+// that the bytes of the handshake do not count as the start of a request.
+func secure(ctx context.Context, c net.Conn, config *tls.Config, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	config = config.Clone()
+	config.ServerName = host
+	secured := tls.Client(c, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 var errSealed = errors.New("connection is closed for writing")
 
 // conn counts writes so that a failure before the first byte of a request is
--- a/internal/service/set.go
+++ b/internal/service/set.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"github.com/agatestep/agatestep/internal/yamldoc"
 )
 
 // SourceFile is a service file as its team wrote it.
@@ -48,6 +50,36 @@
 	return set, nil
 }
 
+// CheckAgainst validates files together with the published ones, of which it
+// keeps those that the files do not replace. Problems with published files are
+// reported too, because they are what publishing would break.
+func CheckAgainst(files []SourceFile, published []*File) []Problem {
+	set, problems := CheckSet(files)
+	if len(problems) > 0 {
+		return problems
+	}
+	replaced := map[string]bool{}
+	for _, f := range set.Files {
+		replaced[f.Service] = true
+	}
+	var all []parsedFile
+	for _, f := range published {
+		if !replaced[f.Service] {
+			doc, _ := yamldoc.Decode("published "+f.Service, []byte("{}"), &File{})
+			all = append(all, parsedFile{name: "published " + f.Service, file: f, doc: doc})
+		}
+	}
+	for _, source := range files {
+		all = append(all, parse(source.Name, []byte(source.Content)))
+	}
+	checkClaims(all)
+	checkExpectations(all)
+	for _, p := range all {
+		problems = append(problems, p.doc.Problems()...)
+	}
+	return problems
+}
+
 func checkNames(parsed []parsedFile) {
 	first := map[string]parsedFile{}
 	for _, p := range parsed {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -11,7 +11,7 @@
 	MethodOperate         = "control.operate"  // Proposal -> ProposalReply
 	MethodAnnounce        = "backend.announce" // Announcement -> AnnounceReply
 	MethodTimelineRead    = "timeline.read"    // TimelineRead -> TimelineReply
-	MethodReplace         = "control.replace" // ReplaceReplica -> ReplaceReply
+	MethodReplace         = "control.replace"  // ReplaceReplica -> ReplaceReply
 )
 
 // ReplicationStep carries one encoded message of the replicated log.
