--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -13,3 +13,28 @@
 	// Set checks all files together.
 	Set func(files []command.File) []string
 }
+
+// ServiceChecker checks with the rules of package service.
+func ServiceChecker() Checker { return Checker{Parse: parseFile, Set: checkSet} }
+
+func parseFile(f command.File) (*service.File, []string) {
+	parsed, problems := service.Parse(f.Name, []byte(f.Content))
+	return parsed, problemLines(problems)
+}
+
+func checkSet(files []command.File) []string {
+	sources := make([]service.SourceFile, 0, len(files))
+	for _, f := range files {
+		sources = append(sources, service.SourceFile{Name: f.Name, Content: f.Content})
+	}
+	_, problems := service.CheckSet(sources)
+	return problemLines(problems)
+}
+
+func problemLines(problems []service.Problem) []string {
+	var out []string
+	for _, p := range problems {
+		out = append(out, p.String())
+	}
+	return out
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -99,7 +99,9 @@
 	joining  map[string]int // hosts whose HostJoined is on its way
 	loads    *loads
 	balanced time.Time // last decision to split and move
+	again    bool      // the next decision is due at once
 	wake     chan struct{}
+	election singleflight.Group
 }
 
 // NewLeader returns a Leader that does nothing before its first call.
@@ -113,7 +115,7 @@
 	l.term, l.fresh = term, false
 	l.sessions, l.joining = map[string]*session{}, map[string]int{}
 	l.loads = newLoads()
-	l.balanced = time.Time{}
+	l.balanced, l.again = time.Time{}, false
 }
 
 // leadership is proof that this process held the leader lease at a moment.
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -109,6 +111,32 @@
 	}
 }
 
+// idle reports whether no load of a service is known.
+func (l *loads) idle(service string) bool {
+	s := l.services[service]
+	return s == nil || len(s.slices) == 0
+}
+
+// split gives the measured load of hot keys to their new slices. Otherwise the
+// slices that they were cut from would look hot until new reports outweigh the old.
+func (l *loads) split(c *command.Split, t *table.Table) {
+	s := l.services[c.Service]
+	if s == nil {
+		return
+	}
+	for _, hash := range c.Hashes {
+		key := s.keys[hash]
+		if own, ok := t.Lookup(c.Service, hash); !ok || key == nil || own.Start != hash || hash == 0 {
+			continue
+		}
+		before, _ := t.Lookup(c.Service, hash-1)
+		if r := s.slices[before.Start]; r != nil {
+			r.perSecond = max(0, r.perSecond-key.perSecond)
+		}
+		s.slices[hash] = &rate{perSecond: key.perSecond}
+	}
+}
+
 // view returns the rates of a service by slice start and by key hash.
 func (l *loads) view(service string) Loads {
 	v := Loads{}
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -46,9 +46,11 @@
 	for _, c := range due {
 		slots <- struct{}{}
 		wg.Go(func() {
-			// Results are not needed: a refused command was based on a state that is gone.
-			_, _ = l.commit(ctx, c)
-			<-slots
+			defer func() { <-slots }()
+			// A refused command was based on a state that is gone.
+			if res, err := l.commit(ctx, c); err == nil && res.Code == command.ResultOK {
+				l.carriedOut(&c)
+			}
 		})
 	}
 	wg.Wait()
@@ -81,7 +83,8 @@
 		v.Live[host] = true
 	}
 	l.dropClosed(v, r)
-	if r.now.Sub(l.balanced) >= l.cfg.BalanceInterval {
+	if l.again || r.now.Sub(l.balanced) >= l.cfg.BalanceInterval {
+		l.again = false
 		l.balanced = r.now
 		l.loads.fold(r.now)
 		v.Balance, v.Loads = !r.inGrace(), map[string]Loads{}
@@ -92,6 +95,20 @@
 	return v, true
 }
 
+// carriedOut takes note of a committed split or move.
+func (l *Leader) carriedOut(c *command.Command) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case c.Split != nil:
+		l.loads.split(c.Split, l.cfg.State.Table())
+	case c.Move != nil && l.loads.idle(c.Move.Service):
+		// Without load nothing can be overloaded by moves, so a service that is being
+		// set up is spread at once instead of once per interval.
+		l.again = true
+	}
+}
+
 // dropClosed forgets sessions that are over and whose hosts are out of the table.
 func (l *Leader) dropClosed(v View, r leadership) {
 	for host, s := range l.sessions {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -31,8 +31,16 @@
 	changed chan struct{} // closed by the next change
 }
 
-// NewState returns the state before the first command.
+// NewState returns the state before the first command. Missing functions of check
+// are those of ServiceChecker.
 func NewState(check Checker) *State {
+	defaults := ServiceChecker()
+	if check.Parse == nil {
+		check.Parse = defaults.Parse
+	}
+	if check.Set == nil {
+		check.Set = defaults.Set
+	}
 	s := &State{
 		check:   check,
 		fleet:   fleet.New(),
