Fix method names of the replicated log and answer closing renewals

Cause: the packages were written side by side. Ruled out: nothing else. Change: call replication.Decode; mark closed sessions. Before and after: the daemon did not build, now it does.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return l.refusal(fmt.Sprintf("closing the session: %v", err))
 	}
-	return l.refusal("session closed")
+	return wire.SessionReply{Closed: true}
 }
 
 // refusal returns a reply without a grant.
--- a/internal/daemon/rpc.go
+++ b/internal/daemon/rpc.go
@@ -30,7 +30,7 @@
 }
 
 func (d *Daemon) handleStep(_ context.Context, step wire.ReplicationStep) (struct{}, error) {
-	m, err := replication.DecodeMessage(step.Message)
+	m, err := replication.Decode(step.Message)
 	if err != nil {
 		return struct{}{}, errors.Trace(err)
 	}
