--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -51,8 +50,7 @@
 
 	listeners map[string]net.Listener
 	servers   []*http.Server
-	stopping  atomic.Bool
-	// background ends the loops; the control replica's loops end last.
+	// background counts the loops that end when cancel is called.
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -93,54 +93,60 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
-// shutdown stops in the order that loses nothing: no new callers, then the
-// session and with it the dispatcher roles, then the requests in flight, and
-// the control replica last, because the hand-over needs it.
+// shutdown stops in the order that loses nothing. First it takes no new callers
+// and hands leadership on, while its session lasts: other hosts still relay to
+// its dispatchers. Then it closes the session, so that the standby dispatchers
+// take over, and finishes what is in flight. The control replica stops last.
 func (d *Daemon) shutdown(hard context.Context) error {
-	d.stopping.Store(true)
 	d.logger.Info("stopping")
 	d.events.Record("stopping", d.settings.Host, "")
 	ctx, cancel := context.WithTimeout(hard, d.settings.Shutdown.Timeout)
 	defer cancel()
-	entryDone := make(chan error, 1)
 	d.entry.StartShutdown()
-	go func() { entryDone <- d.entry.Shutdown(ctx) }()
-	closeErr := d.session.Close(ctx)
-	if closeErr != nil {
-		d.logger.Warn("session not handed over; the standby dispatchers take over when it expires", zap.Error(closeErr))
+	d.handLeadershipOn(ctx)
+	d.finishCallers(ctx)
+	if err := d.session.Close(ctx); err != nil {
+		d.logger.Warn("session not handed over; the standby dispatchers take over when it expires", zap.Error(err))
 	}
-	err := errors.Annotate(<-entryDone, "requests of callers")
+	err := errors.Annotate(d.entry.Shutdown(ctx), "requests of callers")
 	if drained := d.dispatcher.Shutdown(ctx); err == nil {
-		err = errors.Annotate(drained, "requests at backend servers")
+		err = errors.Annotate(drained, "requests of other hosts")
 	}
-	d.stopControl(ctx)
 	d.stopServers(ctx)
+	if d.replica != nil {
+		d.replica.stop()
+	}
 	d.logger.Info("stopped", zap.Error(err))
 	return err
 }
 
-func (d *Daemon) stopControl(ctx context.Context) {
-	if d.replica == nil {
-		return
-	}
-	d.handLeadershipOn(ctx)
-	d.cancel()
-	d.background.Wait()
-	d.replica.stop()
+// finishCallers waits for the requests of callers while this host can still
+// route them. Half of the time to stop is left for the hand-over, after which
+// only requests that reached a backend server go on.
+func (d *Daemon) finishCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Shutdown.Timeout/2)
+	defer cancel()
+	_ = d.entry.Shutdown(ctx) // waited for again after the hand-over
 }
 
+// leadershipTimeout bounds the hand-over of leadership. When it fails, the
+// other replicas elect a leader after their election timeout.
+const leadershipTimeout = 500 * time.Millisecond
+
 // handLeadershipOn transfers leadership to the first voter that takes it.
 func (d *Daemon) handLeadershipOn(ctx context.Context) {
+	if d.replica == nil {
+		return
+	}
 	node := d.replica.node.Load()
 	status := node.Status()
 	if !status.IsLeader {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, leadershipTimeout)
+	defer cancel()
 	for _, m := range status.Members {
-		if !m.Voter || m.ID == status.ID {
-			continue
-		}
-		if err := node.TransferLeadership(ctx, m.ID); err == nil {
+		if m.Voter && m.ID != status.ID && node.TransferLeadership(ctx, m.ID) == nil {
 			return
 		}
 	}
