--- a/internal/table/slices.go
+++ b/internal/table/slices.go
@@ -32,21 +32,64 @@
 
 // find returns the position of the slice that holds hash.
 func (s *sliceSet) find(hash uint64) (chunk, at int, ok bool) {
-	c := sort.Search(len(s.firsts), func(i int) bool { return s.firsts[i] > hash }) - 1
-	if c < 0 {
-		return 0, 0, false
-	}
-	entries := s.chunks[c]
-	lo, hi := 0, len(entries)
+	lo, hi := 0, len(s.firsts)
 	for lo < hi {
-		mid := int(uint(lo+hi) >> 1)
-		if entries[mid].start > hash {
+		if mid := int(uint(lo+hi) >> 1); s.firsts[mid] > hash {
 			hi = mid
 		} else {
 			lo = mid + 1
 		}
 	}
-	return c, lo - 1, true
+	if lo == 0 {
+		return 0, 0, false
+	}
+	return lo - 1, findEntry(s.chunks[lo-1], s.firsts[lo-1], s.end(lo-1), hash), true
+}
+
+// end returns the last hash of a chunk.
+func (s *sliceSet) end(chunk int) uint64 {
+	if chunk+1 < len(s.firsts) {
+		return s.firsts[chunk+1] - 1
+	}
+	return math.MaxUint64
+}
+
+// findEntry returns the index of the entry that holds hash. The entries begin at
+// first, which is at most hash, and end at end. Slices have similar sizes, so it starts at the index that
+// the hash would have if all sizes were equal: a binary search from the middle
+// reads three times as many cache lines.
+func findEntry(entries []entry, first, end, hash uint64) int {
+	n := len(entries)
+	width := max((end-first)/uint64(n), 1)
+	at := int(min((hash-first)/width, uint64(n-1)))
+	lo, hi := 0, n // entries[lo] starts at or before hash, entries[hi] after it
+	if entries[at].start <= hash {
+		lo = at
+		for step := 1; lo+step < n; step *= 2 {
+			if entries[lo+step].start > hash {
+				hi = lo + step
+				break
+			}
+			lo += step
+		}
+	} else {
+		hi = at
+		for step := 1; hi-step > 0; step *= 2 {
+			if entries[hi-step].start <= hash {
+				lo = hi - step
+				break
+			}
+			hi -= step
+		}
+	}
+	for hi-lo > 1 {
+		if mid := int(uint(lo+hi) >> 1); entries[mid].start > hash {
+			hi = mid
+		} else {
+			lo = mid
+		}
+	}
+	return lo
 }
 
 // last returns the last hash of the slice at a position.
@@ -54,10 +97,7 @@
 	if entries := s.chunks[chunk]; at+1 < len(entries) {
 		return entries[at+1].start - 1
 	}
-	if chunk+1 < len(s.firsts) {
-		return s.firsts[chunk+1] - 1
-	}
-	return math.MaxUint64
+	return s.end(chunk)
 }
 
 // put returns a set in which changes, sorted by start, replace the entries with
