Test the replicated log under seeded random faults

Cause: the protocol was covered only by groups without faults.

Ruled out: a wrong member list in the log; all replicas agreed on it.

Change: a change without effect is answered only after the leader has confirmed its leadership with a read round.

--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxAppendBytes bounds the entries of one append message, so that a
+	// maxAppendBytes is the limit of the entries in one append message, so that a
 	// follower that is far behind does not delay heartbeats on the connection.
 	maxAppendBytes = 1 << 20
 	// maxInflightEntries bounds the entries sent to a follower ahead of its
@@ -64,10 +64,11 @@
 	vote   ReplicaID
 	leader ReplicaID
 
-	log      *memoryLog
-	snapshot Snapshot
-	commit   uint64
-	handed   uint64 // last committed entry that Ready returned
+	log       *memoryLog
+	snapshot  Snapshot
+	maxAppend int // bytes of entries in one append message
+	commit    uint64
+	handed    uint64 // last committed entry that Ready returned
 
 	electionElapsed int
 	electionTimeout int
@@ -126,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), log: log, snapshot: p.Snapshot,
+	c := &Core{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), log: log, snapshot: p.Snapshot, maxAppend: maxAppendBytes,
 		term: p.HardState.Term, vote: p.HardState.Vote}
 	// A crash between saving a received snapshot and the hard state leaves a
 	// term below the log's; no vote can have been sent in the later term.
--- a/internal/replication/fakes_test.go
+++ b/internal/replication/fakes_test.go
@@ -85,31 +85,3 @@
 	}
 	return nil
 }
-
-// hub delivers messages between nodes of one process, in their encoded form.
-type hub struct {
-	mu    sync.Mutex
-	nodes map[ReplicaID]*Node
-}
-
-func (h *hub) Send(m Message) {
-	data, err := m.Encode()
-	if err != nil {
-		panic(err)
-	}
-	decoded, err := Decode(data)
-	if err != nil {
-		panic(err)
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if n := h.nodes[m.To]; n != nil {
-		n.Receive(decoded)
-	}
-}
-
-func (h *hub) set(id ReplicaID, n *Node) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.nodes[id] = n
-}
--- a/internal/replication/leader.go
+++ b/internal/replication/leader.go
@@ -88,7 +88,7 @@
 		}
 		var entries []Entry
 		if p.probing || p.next-p.match <= maxInflightEntries {
-			entries = c.log.batch(p.next-1, maxAppendBytes)
+			entries = c.log.batch(p.next-1, c.maxAppend)
 		}
 		if len(entries) == 0 && !probe {
 			return
--- a/internal/replication/request.go
+++ b/internal/replication/request.go
@@ -104,8 +104,12 @@
 	switch {
 	case err == ErrChangeInProgress || err == ErrNotCaughtUp:
 		d.changes = append(d.changes, req)
-	case err != nil || index == 0:
+	case err != nil:
 		req.fail(err)
+	case index == 0:
+		// The member list is already as asked for, but a deposed leader may see
+		// an old one: confirm the leadership first.
+		d.read(req)
 	default:
 		d.waiters[index] = waiter{d.core.term, req}
 	}
--- /dev/null
+++ b/internal/replication/sim_test.go
@@ -0,0 +1,311 @@
+package replication
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const simDrift = 0.1
+
+// sim runs drivers in simulated time, one millisecond per step, on a network
+// that loses, delays, duplicates and cuts, and checks invariants in each step.
+type sim struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Duration
+	hosts     []*simHost
+	network   map[time.Duration][]Message
+	cuts      map[[2]string]bool
+	loss      float64
+	idle      bool
+	tight     bool                 // short delays and timeouts, so that leases follow each other closely
+	committed map[uint64]observed  // as first seen on any replica
+	top       uint64               // highest committed index
+	leaders   map[uint64]ReplicaID // by term
+	admitted  map[ReplicaID]bool
+	calls     []*simCall // without outcome
+	history   []*simCall
+	clock     int64 // orders the calls and outcomes in the history
+	plan      []change
+	planned   *simCall
+}
+
+type observed struct {
+	entry Entry
+	term  uint64 // of the replica that was first seen to have it committed
+}
+
+type change struct {
+	kind ChangeKind
+	id   ReplicaID
+}
+
+type simHost struct {
+	s        *sim
+	name     string
+	rate     float64 // of the local clock
+	store    *memoryStore
+	state    *journal
+	driver   *driver // nil while down
+	restart  time.Duration
+	frozen   time.Duration
+	nextTick time.Duration
+	lease    time.Time // latest end of a lease ever reported, on the local clock
+	seen     uint64    // committed entries that were checked
+}
+
+// simCall is a request and its outcome.
+type simCall struct {
+	*request
+	host     *simHost
+	driver   *driver
+	out      outcome
+	count    int // commands applied, as the outcome shows
+	from, to int64
+}
+
+func newSim(t *testing.T, seed uint64, size int) *sim {
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), network: map[time.Duration][]Message{}, cuts: map[[2]string]bool{},
+		committed: map[uint64]observed{}, leaders: map[uint64]ReplicaID{}, admitted: map[ReplicaID]bool{}, tight: seed%3 == 0}
+	var members []Member
+	for i := range size {
+		h := &simHost{s: s, name: fmt.Sprint("h", i), rate: 1 + simDrift*float64(i%3-1), store: newMemoryStore(fmt.Sprint("h", i), "0")}
+		if s.tight && i > 0 {
+			h.rate = 1 + simDrift
+		}
+		s.hosts = append(s.hosts, h)
+		members = append(members, Member{ID: h.id(), Voter: true})
+		s.admitted[h.id()] = true
+	}
+	for _, h := range s.hosts {
+		if err := Bootstrap(h.store, "g", members); err != nil {
+			t.Fatal(err)
+		}
+		h.start()
+	}
+	return s
+}
+
+func (h *simHost) id() ReplicaID { return h.store.identity.ID() }
+
+// Now implements clock.Clock.
+func (h *simHost) Now() time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(h.s.now) * h.rate))
+}
+
+// Send implements Transport.
+func (h *simHost) Send(m Message) {
+	s := h.s
+	if (m.Type == MessageVoteReply || m.Type == MessagePreVoteReply) && !m.Reject && !s.admitted[m.From] {
+		s.t.Fatalf("%v: %s voted before it was promoted", s.now, m.From)
+	}
+	if p := h.store.durable; !m.Reject {
+		last := p.Snapshot.Index + uint64(len(p.Entries))
+		if m.Type == MessageVoteReply && p.HardState.Vote != m.To || m.Type == MessageAppendReply && last < m.Index {
+			s.t.Fatalf("%v: %s sent %+v before it was durable", s.now, h.name, m)
+		}
+	}
+	for range 1 + s.rng.IntN(33)/32 {
+		delay := 1
+		if !s.tight {
+			delay += s.rng.IntN(6)
+		}
+		if s.loss > 0 && s.rng.IntN(20) == 0 {
+			delay += s.rng.IntN(500)
+		}
+		if s.rng.Float64() >= s.loss {
+			at := s.now + time.Duration(delay)*time.Millisecond
+			s.network[at] = append(s.network[at], m)
+		}
+	}
+}
+
+func (h *simHost) start() {
+	h.state, h.seen = &journal{}, 0
+	h.store.failSync, h.store.failed = false, false
+	cfg := Config{GroupID: "g", Seed: h.s.rng.Uint64(), Storage: h.store, Transport: h, StateMachine: h.state,
+		Clock: h, MaxClockDrift: simDrift, SnapshotEvery: 30}
+	if h.s.tight {
+		cfg.ElectionTicksMax = DefaultElectionTicksMin + 1
+	}
+	d, err := newDriver(cfg)
+	if err != nil {
+		h.s.t.Fatal(err)
+	}
+	d.core.maxAppend = 100
+	h.driver, h.nextTick = d, h.s.now+time.Duration(h.s.rng.IntN(int(DefaultTick)))
+}
+
+func (h *simHost) crash() {
+	h.driver = nil
+	h.restart = h.s.now + time.Duration(1+h.s.rng.IntN(400))*time.Millisecond
+}
+
+// step advances the simulated time by one millisecond.
+func (s *sim) step() {
+	s.now += time.Millisecond
+	due := s.network[s.now]
+	delete(s.network, s.now)
+	for _, m := range due {
+		h := s.hosts[slices.IndexFunc(s.hosts, func(h *simHost) bool { return h.name == m.To.Host() })]
+		if h.frozen > s.now {
+			s.network[h.frozen] = append(s.network[h.frozen], m)
+		} else if h.driver != nil && !s.cuts[[2]string{m.From.Host(), h.name}] {
+			h.driver.step(m)
+			h.run()
+		}
+	}
+	for _, h := range s.hosts {
+		if h.driver == nil && h.restart <= s.now {
+			h.start()
+		}
+		if h.driver != nil && h.frozen <= s.now && h.nextTick <= s.now {
+			h.nextTick = max(h.nextTick+time.Duration(float64(DefaultTick)/h.rate), s.now) // a ticker drops missed ticks
+			h.driver.tick()
+			h.run()
+		}
+	}
+	s.calls = slices.DeleteFunc(s.calls, (*simCall).finished)
+	s.checkLeases()
+}
+
+// run lets the driver work and checks what it did.
+func (h *simHost) run() {
+	h.driver.process()
+	if err := h.driver.err; err != nil {
+		if !errors.Is(err, errDisk) {
+			h.s.t.Fatalf("%v: %s: %v", h.s.now, h.name, err)
+		}
+		h.crash()
+		return
+	}
+	h.checkCommitted()
+	if st := h.driver.currentStatus(); st.IsLeader {
+		h.checkLeader(st)
+	}
+}
+
+// checkCommitted compares newly committed entries with those of other replicas.
+func (h *simHost) checkCommitted() {
+	c, s := h.driver.core, h.s
+	for h.seen = max(h.seen, c.log.baseIndex); h.seen < c.commit; h.seen++ {
+		e := c.log.entries[h.seen-c.log.baseIndex]
+		s.top = max(s.top, e.Index)
+		if known, ok := s.committed[e.Index]; !ok {
+			s.committed[e.Index] = observed{e, c.term}
+		} else if known.entry.Term != e.Term || string(known.entry.Data) != string(e.Data) {
+			s.t.Fatalf("%v: %s committed %v, another replica committed %v", s.now, h.name, e, known)
+		}
+	}
+}
+
+// checkLeader verifies that a leader is the only one of its term, that its log
+// holds what was committed in earlier terms, and that with a lease it has
+// applied everything that was committed.
+func (h *simHost) checkLeader(st Status) {
+	s, c := h.s, h.driver.core
+	if !st.LeaseUntil.IsZero() && st.Applied < s.top {
+		s.t.Fatalf("%v: %s has a lease but applied only %d of %d committed entries", s.now, h.name, st.Applied, s.top)
+	}
+	if st.LeaseUntil.After(h.lease) {
+		h.lease = st.LeaseUntil
+	}
+	if known, ok := s.leaders[st.Term]; ok && known != h.id() {
+		s.t.Fatalf("%v: %s and %s both lead term %d", s.now, known, h.id(), st.Term)
+	} else if ok {
+		return
+	}
+	s.leaders[st.Term] = h.id()
+	for i := c.log.baseIndex + 1; i <= s.top; i++ {
+		if o, ok := s.committed[i]; ok && o.term < st.Term && !c.log.matches(i, o.entry.Term) {
+			s.t.Fatalf("%v: leader %s of term %d lacks committed entry %d", s.now, h.name, st.Term, i)
+		}
+	}
+}
+
+// checkLeases verifies that at most one lease is running, including leases of
+// replicas that crashed or stepped down since: others may still rely on them.
+func (s *sim) checkLeases() {
+	holder := ""
+	for _, h := range s.hosts {
+		if h.lease.After(h.Now()) {
+			if holder != "" {
+				s.t.Fatalf("%v: %s and %s both hold a lease", s.now, holder, h.name)
+			}
+			holder = h.name
+		}
+	}
+}
+
+// checkLogMatching verifies that logs which agree at an index agree before it.
+func (s *sim) checkLogMatching() {
+	for _, a := range s.hosts {
+		for _, b := range s.hosts {
+			if a.driver == nil || b.driver == nil {
+				continue
+			}
+			x, y := a.driver.core.log, b.driver.core.log
+			agree := false
+			for i := min(x.lastIndex(), y.lastIndex()); i > max(x.baseIndex, y.baseIndex); i-- {
+				e, f := x.entries[i-x.baseIndex-1], y.entries[i-y.baseIndex-1]
+				if same := e.Term == f.Term && string(e.Data) == string(f.Data); !same && (agree || e.Term == f.Term) {
+					s.t.Fatalf("%v: logs of %s and %s disagree at %d", s.now, a.name, b.name, i)
+				} else {
+					agree = same
+				}
+			}
+		}
+	}
+}
+
+// call makes a request of a replica that leads, or else of any that is up.
+func (s *sim) call(req *request) *simCall {
+	h := s.leader()
+	if h == nil {
+		return nil
+	}
+	s.clock++
+	c := &simCall{request: req, host: h, driver: h.driver, from: s.clock, out: outcome{err: ErrOutcomeUnknown}}
+	h.driver.accept([]*request{req})
+	s.calls, s.history = append(s.calls, c), append(s.history, c)
+	h.run()
+	return c
+}
+
+func newSimRequest(kind requestKind) *request { return newRequest(context.Background(), kind) }
+
+// finished reports whether the call has an outcome or its process has ended.
+func (c *simCall) finished() bool {
+	select {
+	case c.out = <-c.done:
+	default:
+		return c.host.driver != c.driver
+	}
+	c.host.s.clock++
+	c.to, c.count = c.host.s.clock, len(c.host.state.all())
+	if len(c.out.result) > 0 {
+		fmt.Sscan(string(c.out.result), &c.count)
+	}
+	return true
+}
+
+func (s *sim) leader() *simHost {
+	var live []*simHost
+	for _, h := range s.hosts {
+		if h.driver != nil && h.frozen <= s.now {
+			if h.driver.core.role == leader {
+				return h
+			}
+			live = append(live, h)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return live[s.rng.IntN(len(live))]
+}
