--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -64,19 +64,17 @@
 
 // takeAnnouncement renews the lease; s.mu is held.
 func (s *server) takeAnnouncement(a wire.Announcement, now time.Time, ttl time.Duration) {
-	drift := s.d.cfg.MaxClockDrift
-	before, silent := s.lease.number, s.lease.granted && !s.lease.usable(now, drift)
-	s.lease.renew(now, a.ClockMs, ttl, drift)
-	if silent {
+	lapsed := s.lease.renew(now, a.ClockMs, ttl, s.d.cfg.MaxClockDrift)
+	if lapsed {
 		s.admission.TurnCold(now)
-		s.d.cfg.Record("lease-lapsed", s.key.String(), fmt.Sprintf("lease %d after %d", s.lease.number, before))
+		s.d.cfg.Record("lease-lapsed", s.key.String(), fmt.Sprintf("lease number is now %d", s.lease.number))
 	}
 	if a.Leaving && !s.leaving {
 		s.leaving = true
 		s.d.cfg.Record("backend-leaving", s.key.String(), "")
 		s.notify()
 	}
-	if s.lease.number != before || s.leaving {
+	if lapsed || s.leaving {
 		s.wake()
 	}
 	s.notifyWaiting()
@@ -161,7 +159,7 @@
 	}
 	b := t.Backend(a.Service, a.Backend)
 	switch {
-	case b == nil || b.Lost:
+	case b == nil, b.Lost, b.Incarnation != a.Incarnation && b.Address == a.Address:
 		return d.register(ctx, a)
 	case b.Dispatcher == d.cfg.Host:
 		return d.Announce(ctx, a)
@@ -175,9 +173,10 @@
 	return reply
 }
 
-// register proposes a backend server that is not known or is marked lost. A new
-// incarnation is registered only after the earlier one is marked lost, because
-// the earlier one may hold its slices until its lease is over.
+// register proposes a backend server that is not known or is marked lost, or a
+// new incarnation at the address of the earlier one, which has thus ended. A new
+// incarnation at another address waits until the earlier one is marked lost,
+// because that one may hold its slices until its lease is over.
 func (d *Dispatcher) register(ctx context.Context, a wire.Announcement) wire.AnnounceReply {
 	if a.Leaving {
 		return d.noLease(d.cfg.AnnounceInterval, "the backend server is leaving")
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -246,11 +246,14 @@
 func backendRefusal(e *verdict.Error, status int) *verdict.Error {
 	e.Detail = "backend server refused the request: " + string(e.Reason)
 	e.Reason = verdict.ReasonBackendRefused
-	if e.Verdict == verdict.NotRun {
+	switch {
+	case e.Verdict == verdict.NotRun:
 		e.Status = http.StatusServiceUnavailable
 		if status == http.StatusServiceUnavailable {
 			e.Reason = verdict.ReasonOverloaded
 		}
+	case status != http.StatusGatewayTimeout:
+		e.Status = http.StatusBadGateway
 	}
 	return e
 }
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -248,3 +248,20 @@
 	v, _ := strconv.ParseInt(h.Get(name), 10, 64)
 	return v
 }
+
+// moveSlice gives a slice to an owner at once, as the commit of a release does.
+func (w *world) moveSlice(start uint64, owner string, epoch uint64) {
+	rec := *w.table.Load().Backend("desk", "b1")
+	rec.Epoch = epoch
+	w.change(func(b *table.Builder) {
+		b.PutBackend(rec)
+		b.PutSlice("desk", table.Slice{Start: start, Owner: owner, Epoch: epoch, State: table.SliceOwned})
+	})
+}
+
+// releaseSlice starts a move, as the commit of a Move does.
+func (w *world) releaseSlice(start uint64) {
+	s, _ := w.table.Load().Lookup("desk", start)
+	s.State, s.Next = table.SliceReleasing, "b2"
+	w.change(func(b *table.Builder) { b.PutSlice("desk", s) })
+}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -33,13 +33,15 @@
 	return l.readMs + t.Sub(l.readAt).Milliseconds()
 }
 
-// renew grants the lease for ttl and raises its number after a lapse.
-func (l *lease) renew(now time.Time, clockMs int64, ttl time.Duration, drift float64) {
-	lapsed := !l.granted || clockMs >= l.endMs() || !l.usable(now, drift)
+// renew grants the lease for ttl. It raises the number and reports true when the
+// lease may have lapsed on either clock.
+func (l *lease) renew(now time.Time, clockMs int64, ttl time.Duration, drift float64) (lapsed bool) {
+	lapsed = l.granted && (clockMs >= l.endMs() || !l.usable(now, drift))
 	if lapsed {
 		l.number++
 	}
 	l.ttl, l.readMs, l.readAt, l.granted = ttl, clockMs, now, true
+	return lapsed
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -78,7 +78,7 @@
 	first := !s.active
 	s.active, s.file, s.rec, s.slices = true, file, rec, slices
 	if first {
-		s.lease.number = rec.Epoch << leaseNumberBits
+		s.lease.number = max(s.lease.number, rec.Epoch<<leaseNumberBits)
 	}
 	if first || old.Incarnation != rec.Incarnation || (old.Lost && !rec.Lost) {
 		s.restart(now)
@@ -92,6 +92,7 @@
 // restart forgets what was known of an earlier incarnation.
 func (s *server) restart(now time.Time) {
 	s.lease.granted = false
+	s.lease.number++
 	s.takenAt = now
 	s.leaving = false
 	s.confirmed = orderState{}
