--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -16,6 +16,7 @@
 			values["p99-ms"] = append(values["p99-ms"], c.percentile(0.99))
 			values["p999-ms"] = append(values["p999-ms"], c.percentile(0.999))
 			values["refused-%"] = append(values["refused-%"], 100*float64(c.refused)/float64(c.requests))
+			values["local-%"] = append(values["local-%"], 100*float64(c.nearby)/float64(c.requests+c.hedged))
 			values["extra-%"] = append(values["extra-%"], 100*float64(c.hedged)/float64(c.requests))
 		}
 	}
@@ -34,7 +35,7 @@
 	}{{"catalogue", 8, 2}, {"vault", 6, 4}}
 	for _, shape := range shapes {
 		for _, load := range []float64{0.3, 0.6} {
-			base := setup{servers: shape.servers, slots: shape.slots, load: load, queue: 64}
+			base := setup{servers: shape.servers, slots: shape.slots, load: load}
 			for _, mode := range []string{"round-robin", "picker", "hedged"} {
 				for _, slow := range []bool{false, true} {
 					s := base
@@ -45,3 +46,17 @@
 		}
 	}
 }
+
+// Keyed: each request has one owner. The bound runs every request at once at the
+// owner's speed, which no admission or order of service can beat.
+func BenchmarkKeyedStragglers(b *testing.B) {
+	for _, prefer := range []string{"availability", "tail_latency"} {
+		for _, mode := range []string{"healthy", "ours", "bound"} {
+			s := setup{servers: 30, slots: 2, load: 0.6, keyed: true, stragglers: mode != "healthy", unqueued: mode == "bound"}
+			if prefer == "tail_latency" {
+				s.maxWait = 5 * meanWork
+			}
+			b.Run(prefer+"/"+mode, func(b *testing.B) { measure(b, s) })
+		}
+	}
+}
--- a/internal/balance/sim_test.go
+++ b/internal/balance/sim_test.go
@@ -46,7 +46,7 @@
 	roundRobin, hedges bool
 	unqueued           bool // every request starts at once: the bound of sole ownership
 	load               float64
-	queue              int
+	maxWait            time.Duration // 0: prefer availability
 	seed               uint64
 }
 
@@ -55,7 +55,9 @@
 	runTime   = 60 * time.Second
 	warmUp    = 10 * time.Second
 	meanWork  = 10 * time.Millisecond
-	oneWay    = 500 * time.Microsecond
+	oneWay    = 100 * time.Microsecond
+	zoneWay   = 500 * time.Microsecond // more between data centres
+	zones     = 4
 	deadline  = 2 * time.Second
 	slowness  = 10
 	slowFor   = 2 * time.Second
@@ -73,12 +75,13 @@
 	admit    []*limit.Admission
 	asleep   map[uint64]*attempt
 	nextID   uint64
-	turn     int
+	turn     [hosts]int
 	requests int
+	nearby   int
 	hedged   int
 	refused  int
 	latency  []float64 // milliseconds
-	names    []Candidate
+	names    [hosts][]Candidate
 }
 
 type request struct {
@@ -106,8 +109,10 @@
 		c.pickers[h], c.hedge[h] = NewPicker(s.seed*100+uint64(h)), NewBudget(0.05, 3)
 	}
 	for i := range s.servers {
-		c.names = append(c.names, Candidate{Name: string(rune('a' + i)), Slots: s.slots})
-		c.admit = append(c.admit, limit.New(limit.Config{Slots: s.slots, ColdLimit: 1, Ramp: time.Second, QueueLen: s.queue}, c.now))
+		for h := range c.names {
+			c.names[h] = append(c.names[h], Candidate{Name: string(rune('A' + i)), Slots: s.slots, Local: c.local(h, i)})
+		}
+		c.admit = append(c.admit, limit.New(limit.Config{Slots: s.slots, ColdLimit: 1, Ramp: time.Second, QueueLen: 64, MaxWait: s.maxWait}, c.now))
 	}
 	c.after(0, c.arrive)
 	c.run()
@@ -137,23 +142,36 @@
 
 func (c *cluster) choose(r *request) int {
 	if c.keyed || c.roundRobin {
-		c.turn++
+		c.turn[r.host]++
 		if c.keyed {
-			c.turn = c.random.IntN(c.servers)
+			c.turn[r.host] = c.random.IntN(c.servers)
 		}
-		return c.turn % c.servers
+		return c.turn[r.host] % c.servers
+	}
+	name, _ := c.pickers[r.host].Pick(c.now, c.names[r.host], r.tried)
+	return int(name[0] - 'A')
+}
+
+func (c *cluster) local(host, server int) bool { return host%zones == server%zones }
+
+// network is the one-way latency between a host and a server.
+func (c *cluster) network(host, server int) time.Duration {
+	if c.local(host, server) {
+		return oneWay
 	}
-	name, _ := c.pickers[r.host].Pick(c.now, c.names, r.tried)
-	return int(name[0] - 'a')
+	return oneWay + zoneWay
 }
 
 func (c *cluster) send(r *request, server int) {
 	c.nextID++
 	a := &attempt{request: r, id: c.nextID, server: server, sent: c.now}
-	r.tried[c.names[server].Name] = true
+	if c.local(r.host, server) {
+		c.nearby++
+	}
+	r.tried[c.names[0][server].Name] = true
 	r.attempts = append(r.attempts, a)
-	c.pickers[r.host].Sent(c.now, c.names[server].Name)
-	c.after(oneWay, func() {
+	c.pickers[r.host].Sent(c.now, c.names[0][server].Name)
+	c.after(c.network(r.host, server), func() {
 		switch {
 		case a.over:
 		case c.unqueued:
@@ -165,7 +183,7 @@
 			case limit.Wait:
 				c.asleep[a.id] = a
 			default:
-				c.after(oneWay, func() { c.end(a, false) })
+				c.after(c.network(r.host, server), func() { c.end(a, false) })
 			}
 		}
 	})
@@ -181,7 +199,7 @@
 			return
 		}
 		c.free(a, limit.Outcome{Latency: c.now.Sub(begun)})
-		c.after(oneWay, func() { c.end(a, true) })
+		c.after(c.network(a.host, a.server), func() { c.end(a, true) })
 	})
 }
 
@@ -206,7 +224,7 @@
 		return
 	}
 	a.over = true
-	c.pickers[a.host].Done(c.now, c.names[a.server].Name, c.now.Sub(a.sent), ok)
+	c.pickers[a.host].Done(c.now, c.names[0][a.server].Name, c.now.Sub(a.sent), ok)
 	if a.done {
 		return
 	}
@@ -229,7 +247,7 @@
 // cancel ends the losing attempt of a hedged request; its server accepts that.
 func (c *cluster) cancel(a *attempt) {
 	a.over = true
-	c.pickers[a.host].Done(c.now, c.names[a.server].Name, c.now.Sub(a.sent), true)
+	c.pickers[a.host].Done(c.now, c.names[0][a.server].Name, c.now.Sub(a.sent), true)
 	if a.running {
 		c.free(a, limit.Outcome{Cancelled: true})
 	} else {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -11,6 +11,13 @@
 	ColdLimit int           // below 1 counts as 1, above Slots as Slots
 	Ramp      time.Duration // time from the cold limit to all slots
 	QueueLen  int           // most requests that wait
+	// MaxWait refuses a request that is expected to wait longer, although it would
+	// meet its deadline. Zero means that deadlines alone decide. Services that
+	// prefer tail latency over availability set it.
+	MaxWait time.Duration
+	// Typical is the latency of warm servers of the same service, zero when not
+	// known. A new server that is much slower does not grow its limit yet.
+	Typical time.Duration
 }
 
 // Decision is what to do with an offered request.
@@ -55,6 +62,9 @@
 	cfg.Slots = max(cfg.Slots, 1)
 	cfg.ColdLimit = min(max(cfg.ColdLimit, 1), cfg.Slots)
 	a := &Admission{cfg: cfg}
+	if cfg.Typical > 0 {
+		a.cold.normal = estimate{cfg.Typical, cfg.Typical / 2, minSamples}
+	}
 	a.TurnCold(now)
 	return a
 }
@@ -124,7 +134,7 @@
 		start = a.hold
 	}
 	start = start.Add(time.Duration(at+1) * step)
-	if !a.meets(start.Add(a.service.dev), w.deadline) {
+	if !a.meets(start.Add(a.service.dev), w.deadline) || (a.cfg.MaxWait > 0 && start.Sub(now) > a.cfg.MaxWait) {
 		return false
 	}
 	for _, behind := range a.queue[at:] {
