Tell server errors on a warm server from a cold one

Cause: any failure together with any slow answer turned a server cold.

Ruled out: dropping failures as a sign, because a cold server may fail instead of shedding.

Change: the signs of the last 8 outcomes decide: load shedding with a latency jump, 3 sheds, 4 losses with 2 latency jumps, or 8 losses. Failures alone raise a suspicion only from the second in a row. Benchmark FalseAlarm.

--- a/internal/limit/bench_test.go
+++ b/internal/limit/bench_test.go
@@ -105,3 +105,31 @@
 		}
 	}
 }
+
+// False alarms: a warm server with server errors and variable work at full load
+// must not lose capacity to suspicions.
+func BenchmarkFalseAlarm(b *testing.B) {
+	for _, failures := range []float64{0, 0.01, 0.05} {
+		for _, steady := range []float64{0.5, 0} {
+			for _, mode := range []string{"fixed", "ours"} {
+				b.Run(fmt.Sprintf("failures=%v/steady=%v/%s", failures, steady, mode), func(b *testing.B) {
+					measure(b, func(seed uint64) map[string]float64 {
+						a := New(lathe, time.Unix(0, 0))
+						s := newBackend(seed, lathe, map[string]gate{"fixed": &fifo{limit: 4, length: 10}, "ours": a}[mode])
+						s.steady = steady
+						s.offerLoad(1, 10*time.Second)
+						s.failures, s.goodput = failures, 0
+						cold := 0.0
+						for range 600 {
+							s.offerLoad(1.2, 50*time.Millisecond)
+							if a.Cold(s.now) {
+								cold += 100.0 / 600
+							}
+						}
+						return map[string]float64{"goodput-%": 100 * float64(s.goodput) * meanWork.Seconds() / (30 * 4), "cold-%": cold}
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/limit/cold.go
+++ b/internal/limit/cold.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"math/bits"
+	"time"
+)
 
 // successesPerStep is the number of successes per request of the current limit
 // that a cold server must give before its limit grows by one.
@@ -22,18 +26,17 @@
 	successes int      // since the limit grew last
 	fresh     estimate // latency since the server turned cold
 	normal    estimate // latency while warm
+	signs     signs
 	suspect   suspicion
 }
 
-// suspicion collects the signs of a server that turned cold without warning.
-// While it is active the server gets no more than its cold limit, so that no
+// suspicion is the doubt after a sign that a warm server turned cold. While it is active the server gets no more than its cold limit, so that no
 // request goes to a cold server between the first sign and the confirmation.
 type suspicion struct {
-	active   bool
-	since    time.Time
-	jump     bool // a latency far above the server's own history
-	outcomes int
-	losses   int // requests shed or failed
+	active bool
+	since  time.Time
+	loss   bool // a request was shed, or several failed in a row
+	slow   int  // slow answers
 }
 
 // TurnCold puts the limit back to the cold limit. Requests in flight stay.
@@ -43,6 +46,7 @@
 	a.cold.limit = a.cfg.ColdLimit
 	a.cold.successes = 0
 	a.cold.fresh = estimate{}
+	a.cold.signs = signs{}
 	a.cold.suspect = suspicion{}
 }
 
@@ -107,16 +111,27 @@
 
 // observe learns from an outcome whether the server is cold, whatever it reports.
 func (a *Admission) observe(now time.Time, o Outcome) {
+	c := &a.cold
 	sent := now.Add(-o.Latency)
-	slow := a.cold.normal.exceeded(o.Latency)
+	if c.cold && sent.Before(c.since) {
+		return // sent before the server turned cold: tells nothing about its ramp
+	}
+	slow := c.normal.exceeded(o.Latency)
 	bad := o.Shed || o.Failed
+	c.signs.add(slow, o.Shed, bad)
 	switch {
-	case a.cold.cold:
-		a.observeCold(now, o, sent, slow)
+	case c.signs.cold(), c.cold && o.Shed:
+		a.TurnCold(now)
+	case c.cold && !bad:
+		c.successes++
+		c.fresh.add(o.Latency)
+		a.grow(now)
+	case c.cold:
+		// A failure alone neither grows nor restarts the ramp.
 	case slow || bad:
-		a.suspect(now, o, slow, bad)
+		a.suspect(now, o, slow)
 	default:
-		a.cold.normal.add(o.Latency)
+		c.normal.add(o.Latency)
 		a.clear(sent)
 	}
 }
@@ -125,51 +140,69 @@
 // request that was sent later counts: those sent before the server turned cold
 // may still end well.
 func (a *Admission) clear(sent time.Time) {
-	s := &a.cold.suspect
-	if s.losses == 0 || !sent.Before(s.since) {
-		*s = suspicion{}
-	}
-}
-
-// observeCold counts successes and restarts the ramp when the server sheds load
-// that was sent to it since it turned cold.
-func (a *Admission) observeCold(now time.Time, o Outcome, sent time.Time, slow bool) {
+	c := &a.cold
 	switch {
-	case sent.Before(a.cold.since):
-		// Sent before the server turned cold: tells nothing about its ramp.
-	case o.Shed, o.Failed && slow:
-		a.TurnCold(now)
-	case !o.Failed:
-		a.cold.successes++
-		a.cold.fresh.add(o.Latency)
-		a.grow(now)
+	case !c.suspect.loss:
+		c.suspect = suspicion{}
+	case !sent.Before(c.suspect.since):
+		c.suspect, c.signs = suspicion{}, signs{}
 	}
 }
 
-// suspect weighs a bad sign. Slowness and loss together, or a run of losses, turn
-// the server cold. A single failure without slowness is no sign, since server
-// errors occur on warm servers. Slowness alone is a straggler: after as many
-// outcomes as there are slots its latency becomes the new normal.
-func (a *Admission) suspect(now time.Time, o Outcome, slow, bad bool) {
+// suspect weighs a bad sign. A single failure without slowness is none, since
+// server errors occur on warm servers. Slowness alone is a straggler: after as
+// many slow answers as there are slots its latency becomes the new normal.
+func (a *Admission) suspect(now time.Time, o Outcome, slow bool) {
 	s := &a.cold.suspect
-	s.jump = s.jump || slow
-	s.outcomes++
-	if bad {
-		s.losses++
-	}
-	if first := !s.active; first && (slow || o.Shed || s.losses > 1) {
+	loss := o.Shed || a.cold.signs.lossesInARow() > 1
+	if !s.active && (slow || loss) {
 		s.active, s.since = true, now
 	}
-	switch {
-	case s.jump && s.losses > 0, s.losses >= max(lossRun, a.cfg.Slots):
-		a.TurnCold(now)
-	case s.outcomes >= a.cfg.Slots && s.losses == 0:
+	s.loss = s.loss || loss
+	if slow {
+		s.slow++
+	}
+	if s.slow >= a.cfg.Slots && !s.loss {
 		a.cold.normal = estimate{}
 		a.cold.normal.add(o.Latency)
 		a.cold.suspect = suspicion{}
 	}
 }
 
-// lossRun is the least number of losses without a success between them that
-// turns a server cold when its latency shows nothing.
-const lossRun = 3
+// signs holds the bad signs of the last 8 outcomes, the latest in the lowest bit.
+type signs struct {
+	slow uint8 // far above the server's own history
+	shed uint8
+	loss uint8 // shed or failed
+}
+
+// Counts of bad signs among the last 8 outcomes. With 5% server errors and 2%
+// outliers of latency, which an exponential distribution has, a warm server
+// shows 4 losses with 2 outliers less than once in 100,000 outcomes.
+const (
+	coldSheds  = 3
+	coldLosses = 4
+	coldSlow   = 2
+)
+
+func (s *signs) add(slow, shed, loss bool) {
+	s.slow, s.shed, s.loss = s.slow<<1, s.shed<<1, s.loss<<1
+	if slow {
+		s.slow |= 1
+	}
+	if shed {
+		s.shed |= 1
+	}
+	if loss {
+		s.loss |= 1
+	}
+}
+
+// cold reports whether the signs together mean a cold server: load shedding with
+// a latency jump, failures with several, or losses that are many by themselves.
+func (s *signs) cold() bool {
+	return (s.shed != 0 && s.slow != 0) || bits.OnesCount8(s.shed) >= coldSheds || s.loss == math.MaxUint8 ||
+		(bits.OnesCount8(s.loss) >= coldLosses && bits.OnesCount8(s.slow) >= coldSlow)
+}
+
+func (s *signs) lossesInARow() int { return bits.TrailingZeros8(^s.loss) }
--- a/internal/limit/sim_test.go
+++ b/internal/limit/sim_test.go
@@ -36,7 +36,7 @@
 }
 
 // backend is a fake server with an entry in front of it: one admission, or one
-// per host. A cold backend sheds what exceeds its cold limit and is coldSlow
+// per host. A cold backend sheds what exceeds its cold limit and is coldWorks
 // times slower; it warms by the work it answers.
 type backend struct {
 	sim
@@ -53,6 +53,8 @@
 	refused, expired int
 	deadlines func() time.Duration
 	retries   func() bool
+	failures  float64 // share of answers that are server errors
+	steady    float64 // share of the work that does not vary
 }
 
 // gate is what the baselines and Admission have in common.
@@ -64,14 +66,14 @@
 
 const (
 	meanWork  = 10 * time.Millisecond
-	coldSlow  = 5
+	coldWorks = 5  // times slower while cold
 	coldWork  = 40 // answers that warm a cold backend
 	shedAfter = time.Millisecond
 	hosts     = 11
 )
 
 func newBackend(seed uint64, cfg Config, gates ...gate) *backend {
-	b := &backend{cfg: cfg, random: rand.New(rand.NewPCG(seed, 3)), gates: gates}
+	b := &backend{cfg: cfg, random: rand.New(rand.NewPCG(seed, 3)), gates: gates, steady: 0.5}
 	b.now = time.Unix(0, 0)
 	b.deadlines = func() time.Duration { return 20*time.Millisecond + time.Duration(b.random.IntN(380))*time.Millisecond }
 	b.retries = func() bool { return false }
@@ -111,9 +113,9 @@
 
 // execute runs request id, whose deadline is its id in Unix nanoseconds.
 func (b *backend) execute(g gate, id uint64) {
-	begun, d, shed := b.now, time.Duration(float64(meanWork)*(0.5+0.5*b.random.ExpFloat64())), false
+	begun, d, shed := b.now, time.Duration(float64(meanWork)*(b.steady+(1-b.steady)*b.random.ExpFloat64())), false
 	if b.warmth > 0 {
-		d *= coldSlow
+		d *= coldWorks
 		if b.running >= b.cfg.ColdLimit {
 			b.sentOver, d, shed = b.sentOver+1, shedAfter, true
 		}
@@ -122,6 +124,7 @@
 	if b.warmth > 0 {
 		b.peakCold = max(b.peakCold, b.running)
 	}
+	failed := b.random.Float64() < b.failures
 	b.after(d, func() {
 		b.running--
 		if !shed && b.warmth > 0 {
@@ -130,7 +133,7 @@
 		if !shed && b.now.UnixNano() <= int64(id) {
 			b.goodput++
 		}
-		g.Finish(b.now, Outcome{Latency: b.now.Sub(begun), Shed: shed})
+		g.Finish(b.now, Outcome{Latency: b.now.Sub(begun), Shed: shed, Failed: failed})
 		b.ready(g)
 	})
 }
