--- a/internal/limit/cold.go
+++ b/internal/limit/cold.go
@@ -1,30 +1,42 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"math/bits"
+	"time"
+)
 
 // successesPerStep is the number of successes per request of the current limit
 // that a cold server must give before its limit grows by one.
 const successesPerStep = 2
 
+// warmFactor is the latency, relative to that of a warm server, up to which a cold
+// server counts as warming and its limit grows. After patience ramps it grows by
+// time and successes alone, since the server may be slower than its history.
+const (
+	warmFactor = 2
+	patience   = 4
+)
+
 // coldState says whether the server is cold or may have become so.
 type coldState struct {
 	cold      bool
 	since     time.Time
-	limit     int // current limit while cold
-	successes int // since the limit grew last
-	normal    estimate
+	limit     int      // current limit while cold
+	successes int      // since the limit grew last
+	fresh     estimate // latency since the server turned cold
+	normal    estimate // latency while warm
+	signs     signs
 	suspect   suspicion
 }
 
-// suspicion collects the signs of a server that turned cold without warning.
-// While it is active the server gets no more than its cold limit, so that no
+// suspicion is the doubt after a sign that a warm server turned cold. While it is active the server gets no more than its cold limit, so that no
 // request goes to a cold server between the first sign and the confirmation.
 type suspicion struct {
-	active   bool
-	jump     bool // a latency far above the server's own history
-	loss     bool // a request was shed or failed
-	outcomes int
-	losses   int
+	active bool
+	since  time.Time
+	loss   bool // a request was shed, or several failed in a row
+	slow   int  // slow answers
 }
 
 // TurnCold puts the limit back to the cold limit. Requests in flight stay.
@@ -33,6 +45,8 @@
 	a.cold.since = now
 	a.cold.limit = a.cfg.ColdLimit
 	a.cold.successes = 0
+	a.cold.fresh = estimate{}
+	a.cold.signs = signs{}
 	a.cold.suspect = suspicion{}
 }
 
@@ -54,16 +68,32 @@
 	return a.cfg.Slots
 }
 
-// grow raises the limit by the steps that both time and successes allow.
+// Typical returns the mean latency of the server while warm, for the Config of
+// other servers of the same service. It is false while that is not known.
+func (a *Admission) Typical() (time.Duration, bool) {
+	return a.cold.normal.mean, a.cold.normal.samples >= minSamples
+}
+
+// grow raises the limit by the steps that time, successes and latency allow.
 func (a *Admission) grow(now time.Time) {
 	c := &a.cold
-	for c.cold && c.successes >= successesPerStep*c.limit && !now.Before(a.growsAt()) {
+	for c.cold && a.earned(now) && !now.Before(a.growsAt()) {
 		c.successes -= successesPerStep * c.limit
 		c.limit++
 		c.cold = c.limit < a.cfg.Slots
 	}
 }
 
+// earned reports whether the successes allow one more request in flight.
+func (a *Admission) earned(now time.Time) bool {
+	c := &a.cold
+	if c.successes < successesPerStep*c.limit {
+		return false
+	}
+	return c.normal.samples < minSamples || c.fresh.mean <= warmFactor*c.normal.mean ||
+		now.Sub(c.since) >= patience*a.cfg.Ramp
+}
+
 // growsAt is the time from which the ramp allows one more request in flight.
 func (a *Admission) growsAt() time.Time {
 	steps := a.cold.limit + 1 - a.cfg.ColdLimit
@@ -73,7 +103,7 @@
 // nextGrowth returns when the limit grows without a further success.
 func (a *Admission) nextGrowth(now time.Time) (time.Time, bool) {
 	a.grow(now)
-	if !a.cold.cold || a.cold.successes < successesPerStep*a.cold.limit {
+	if !a.cold.cold || !a.earned(now) {
 		return time.Time{}, false
 	}
 	return a.growsAt(), true
@@ -81,57 +111,98 @@
 
 // observe learns from an outcome whether the server is cold, whatever it reports.
 func (a *Admission) observe(now time.Time, o Outcome) {
+	c := &a.cold
 	sent := now.Add(-o.Latency)
-	if a.cold.cold {
-		a.observeCold(now, o, sent)
-		return
+	if c.cold && sent.Before(c.since) {
+		return // sent before the server turned cold: tells nothing about its ramp
 	}
-	slow := a.cold.normal.exceeded(o.Latency)
+	slow := c.normal.exceeded(o.Latency)
 	bad := o.Shed || o.Failed
-	if !slow && !bad {
-		a.cold.normal.add(o.Latency)
-		a.cold.suspect = suspicion{}
-		return
+	c.signs.add(slow, o.Shed, bad)
+	switch {
+	case c.signs.cold(), c.cold && o.Shed:
+		a.TurnCold(now)
+	case c.cold && !bad:
+		c.successes++
+		c.fresh.add(o.Latency)
+		a.grow(now)
+	case c.cold:
+		// A failure alone neither grows nor restarts the ramp.
+	case slow || bad:
+		a.suspect(now, o, slow)
+	default:
+		c.normal.add(o.Latency)
+		a.clear(sent)
 	}
-	a.suspect(now, o, slow, bad)
 }
 
-// observeCold counts successes and restarts the ramp when the server sheds load
-// that was sent to it since it turned cold.
-func (a *Admission) observeCold(now time.Time, o Outcome, sent time.Time) {
+// clear ends a suspicion after a normal answer. After a loss, only an answer to a
+// request that was sent later counts: those sent before the server turned cold
+// may still end well.
+func (a *Admission) clear(sent time.Time) {
+	c := &a.cold
 	switch {
-	case sent.Before(a.cold.since):
-		// Sent before the server turned cold: tells nothing about its ramp.
-	case o.Shed, o.Failed && a.cold.normal.exceeded(o.Latency):
-		a.TurnCold(now)
-	case !o.Failed:
-		a.cold.successes++
-		a.grow(now)
+	case !c.suspect.loss:
+		c.suspect = suspicion{}
+	case !sent.Before(c.suspect.since):
+		c.suspect, c.signs = suspicion{}, signs{}
 	}
 }
 
-// suspect weighs a bad sign. Slowness and loss together, or a run of losses,
-// turn the server cold. Slowness alone is a straggler: after as many outcomes
-// as there are slots its latency becomes the new normal.
-func (a *Admission) suspect(now time.Time, o Outcome, slow, bad bool) {
+// suspect weighs a bad sign. A single failure without slowness is none, since
+// server errors occur on warm servers. Slowness alone is a straggler: after as
+// many slow answers as there are slots its latency becomes the new normal.
+func (a *Admission) suspect(now time.Time, o Outcome, slow bool) {
 	s := &a.cold.suspect
-	s.active = true
-	s.jump = s.jump || slow
-	s.loss = s.loss || bad
-	s.outcomes++
-	if bad {
-		s.losses++
+	loss := o.Shed || a.cold.signs.lossesInARow() > 1
+	if !s.active && (slow || loss) {
+		s.active, s.since = true, now
 	}
-	switch {
-	case s.jump && s.loss, s.losses >= max(lossRun, a.cfg.Slots):
-		a.TurnCold(now)
-	case s.outcomes >= a.cfg.Slots && !s.loss:
+	s.loss = s.loss || loss
+	if slow {
+		s.slow++
+	}
+	if s.slow >= a.cfg.Slots && !s.loss {
 		a.cold.normal = estimate{}
 		a.cold.normal.add(o.Latency)
 		a.cold.suspect = suspicion{}
 	}
 }
 
-// lossRun is the least number of losses without a success between them that
-// turns a server cold when its latency shows nothing.
-const lossRun = 3
+// signs holds the bad signs of the last 8 outcomes, the latest in the lowest bit.
+type signs struct {
+	slow uint8 // far above the server's own history
+	shed uint8
+	loss uint8 // shed or failed
+}
+
+// Counts of bad signs among the last 8 outcomes. With 5% server errors and 2%
+// outliers of latency, which an exponential distribution has, a warm server
+// shows 4 losses with 2 outliers less than once in 100,000 outcomes.
+const (
+	coldSheds  = 3
+	coldLosses = 4
+	coldSlow   = 2
+)
+
+func (s *signs) add(slow, shed, loss bool) {
+	s.slow, s.shed, s.loss = s.slow<<1, s.shed<<1, s.loss<<1
+	if slow {
+		s.slow |= 1
+	}
+	if shed {
+		s.shed |= 1
+	}
+	if loss {
+		s.loss |= 1
+	}
+}
+
+// cold reports whether the signs together mean a cold server: load shedding with
+// a latency jump, failures with several, or losses that are many by themselves.
+func (s *signs) cold() bool {
+	return (s.shed != 0 && s.slow != 0) || bits.OnesCount8(s.shed) >= coldSheds || s.loss == math.MaxUint8 ||
+		(bits.OnesCount8(s.loss) >= coldLosses && bits.OnesCount8(s.slow) >= coldSlow)
+}
+
+func (s *signs) lossesInARow() int { return bits.TrailingZeros8(^s.loss) }
