--- a/internal/logstore/replay.go
+++ b/internal/logstore/replay.go
@@ -58,7 +58,7 @@
 		}
 		payload, _, err := nextRecord(data)
 		var rec logRecord
-		if err == nil && decodePayload(payload, &rec) == nil && rec.Reset {
+		if err == nil && replication.Unmarshal(payload, &rec) == nil && rec.Reset {
 			return i, nil
 		}
 	}
@@ -84,7 +84,7 @@
 			return truncate(path, int64(offset))
 		}
 		var rec logRecord
-		if err := decodePayload(payload, &rec); err != nil {
+		if err := replication.Unmarshal(payload, &rec); err != nil {
 			return fmt.Errorf("%w: segment %s at byte %d: %v", ErrDamaged, path, offset, err)
 		}
 		if err := r.add(rec); err != nil {
--- a/internal/logstore/snapshot.go
+++ b/internal/logstore/snapshot.go
@@ -28,7 +28,7 @@
 		err = fmt.Errorf("%d bytes follow the record", len(data)-size)
 	}
 	if err == nil {
-		err = decodePayload(payload, &snapshot)
+		err = replication.Unmarshal(payload, &snapshot)
 	}
 	if err == nil && snapshot.Index != numbers[len(numbers)-1] {
 		err = fmt.Errorf("the snapshot is of entry %d", snapshot.Index)
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -1,12 +1,8 @@
 package replication
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // MessageType is the type of a message between replicas.
@@ -29,34 +25,34 @@
 // Message is sent from one replica to another. The meaning of the fields
 // depends on the type.
 type Message struct {
-	Type  MessageType
-	Group string
-	From  ReplicaID
-	To    ReplicaID
-	Term  uint64
+	Type  MessageType `msgpack:"y"`
+	Group string      `msgpack:"g"`
+	From  ReplicaID   `msgpack:"f"`
+	To    ReplicaID   `msgpack:"o"`
+	Term  uint64      `msgpack:"t,omitempty"`
 	// Index and LogTerm are the position before Entries (append), the last
 	// position of the log (votes), or the acknowledged index (append reply).
-	Index   uint64
-	LogTerm uint64
-	Commit  uint64
+	Index   uint64 `msgpack:"i,omitempty"`
+	LogTerm uint64 `msgpack:"l,omitempty"`
+	Commit  uint64 `msgpack:"c,omitempty"`
 	// Round numbers the heartbeats of a leader; replies return it.
-	Round  uint64
-	Reject bool
+	Round  uint64 `msgpack:"r,omitempty"`
+	Reject bool   `msgpack:"x,omitempty"`
 	// Hint is the index that a rejecting follower suggests to continue after.
-	Hint uint64
+	Hint uint64 `msgpack:"h,omitempty"`
 	// Transfer marks a vote request made at the wish of the leader.
-	Transfer bool
-	Entries  []Entry
-	Snapshot *Snapshot
+	Transfer bool      `msgpack:"n,omitempty"`
+	Entries  []Entry   `msgpack:"e,omitempty"`
+	Snapshot *Snapshot `msgpack:"s,omitempty"`
 }
 
 // Encode returns the message in msgpack.
-func (m Message) Encode() ([]byte, error) { return marshal(m) }
+func (m Message) Encode() ([]byte, error) { return Marshal(m) }
 
 // Decode parses and checks an encoded message.
 func Decode(data []byte) (Message, error) {
 	var m Message
-	if err := unmarshal(data, &m); err != nil {
+	if err := Unmarshal(data, &m); err != nil {
 		return Message{}, fmt.Errorf("replication: decoding message: %w", err)
 	}
 	if err := m.validate(); err != nil {
@@ -93,33 +89,11 @@
 }
 
 // EncodeMembers returns the data of an EntryMembers entry.
-func EncodeMembers(members []Member) ([]byte, error) { return marshal(members) }
+func EncodeMembers(members []Member) ([]byte, error) { return Marshal(members) }
 
 // DecodeMembers parses the data of an EntryMembers entry.
 func DecodeMembers(data []byte) ([]Member, error) {
 	var members []Member
-	err := unmarshal(data, &members)
+	err := Unmarshal(data, &members)
 	return members, err
 }
-
-// marshal writes structs as arrays, which leaves field names out of every
-// message; fields may therefore only be added at the end.
-func marshal(v any) ([]byte, error) {
-	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	err := enc.Encode(v)
-	return buf.Bytes(), err
-}
-
-func unmarshal(data []byte, v any) error {
-	r := bytes.NewReader(data)
-	if err := msgpack.NewDecoder(r).Decode(v); err != nil {
-		return err
-	}
-	if _, err := r.ReadByte(); err != io.EOF {
-		return errors.New("trailing bytes")
-	}
-	return nil
-}
--- a/internal/replication/types.go
+++ b/internal/replication/types.go
@@ -22,8 +22,8 @@
 // Member is a replica of the group. Learners receive the log but neither vote
 // nor count towards a majority.
 type Member struct {
-	ID    ReplicaID
-	Voter bool
+	ID    ReplicaID `msgpack:"i,omitempty"`
+	Voter bool      `msgpack:"v,omitempty"`
 }
 
 // EntryKind says what an entry carries.
@@ -38,27 +38,27 @@
 
 // Entry is one record of the replicated log.
 type Entry struct {
-	Index uint64
-	Term  uint64
-	Kind  EntryKind
-	Data  []byte
+	Index uint64    `msgpack:"i,omitempty"`
+	Term  uint64    `msgpack:"t,omitempty"`
+	Kind  EntryKind `msgpack:"k,omitempty"`
+	Data  []byte    `msgpack:"d,omitempty"`
 }
 
 // HardState is what a replica must have synced before it sends a vote or an
 // acknowledgement. Commit is a hint that saves work after a restart; a lower
 // value than the true one is safe.
 type HardState struct {
-	Term   uint64
-	Vote   ReplicaID
-	Commit uint64
+	Term   uint64    `msgpack:"t,omitempty"`
+	Vote   ReplicaID `msgpack:"v,omitempty"`
+	Commit uint64    `msgpack:"c,omitempty"`
 }
 
 // Snapshot is the state of the group up to and including Index.
 type Snapshot struct {
-	Index   uint64
-	Term    uint64
-	Members []Member
-	Data    []byte
+	Index   uint64   `msgpack:"i,omitempty"`
+	Term    uint64   `msgpack:"t,omitempty"`
+	Members []Member `msgpack:"m,omitempty"`
+	Data    []byte   `msgpack:"d,omitempty"`
 }
 
 // Identity is what a store knows of the replica that it belongs to.
