--- a/internal/control/invariant_test.go
+++ b/internal/control/invariant_test.go
@@ -160,7 +160,7 @@
 		apply := func(c command.Command) {
 			data, err := c.Encode()
 			is.NoErr(err)
-			_, out, _ := l.Propose(nil, data)
+			_, out, _ := l.Propose(ctx, data)
 			is.True(bytes.Equal(out, other.Apply(l.index, data)))
 		}
 		apply(publish("p", fileOf("desk", 1, 8, "")))
