End a pending read of the request body when the connection breaks

Cause: http.Transport waits for the read of the request body before it reports a broken connection, so a caller that pauses its upload kept a failed request open; a test that closed the connection during an upload ran into its time limit (5 min). Ruled out: a goroutine per body that copies through a channel, which costs a copy of each byte. Change: closing a connection of package forward aborts the body that it carries, which sets a past read deadline on the caller's connection. Conclusion: broken connections are reported at once and truthfully.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -23,13 +23,17 @@
 		return nil, refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(d.cfg.Clock.Now()))
-	resp, err := d.do(ctx, id, r)
-	if err != nil {
+	end := func() {
+		r.closeBody()
 		cancel()
 		d.end()
+	}
+	resp, err := d.do(ctx, id, r)
+	if err != nil {
+		end()
 		return nil, err
 	}
-	resp.Body.(*answerBody).onEnd(func() { cancel(); d.end() })
+	resp.Body.(*answerBody).onEnd(end)
 	return resp, nil
 }
 
@@ -216,20 +220,16 @@
 		f.finish(limit.Outcome{Cancelled: true})
 		return nil, err
 	}
-	body := forward.NewBody(f.r.Body)
-	out.Body = body
-	if f.r.Body == nil {
-		out.Body = nil
+	if f.r.Body != nil {
+		out.Body = f.r.Body
 	}
 	resp, err := forward.Send(ctx, f.transport, out, f.check)
 	if err != nil {
-		body.Close()
 		f.finish(f.failed(ctx, forward.AsError(err)))
 		return nil, err
 	}
 	latency := f.s.d.cfg.Clock.Now().Sub(f.began)
 	if e := forward.AnswerVerdict(resp); e != nil {
-		body.Close()
 		resp.Body.Close()
 		f.finish(limit.Outcome{Latency: latency, Shed: resp.StatusCode == http.StatusServiceUnavailable, Cancelled: resp.StatusCode == http.StatusConflict})
 		return nil, backendRefusal(e, resp.StatusCode)
@@ -238,7 +238,7 @@
 	resp.Header.Set(wire.HeaderRequestID, f.r.ID)
 	resp.Header.Set(verdict.Header, verdict.Answered.String())
 	outcome := limit.Outcome{Latency: latency, Failed: resp.StatusCode >= http.StatusInternalServerError}
-	resp.Body = &answerBody{ReadCloser: resp.Body, end: func() { body.Close(); f.finish(outcome) }}
+	resp.Body = &answerBody{ReadCloser: resp.Body, end: func() { f.finish(outcome) }}
 	return resp, nil
 }
 
--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/forward"
+	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -108,7 +111,7 @@
 	}
 	go func() { _, _ = writer.Write([]byte("part")) }()
 	r := w.request("during", http.MethodPost, "")
-	r.Body, r.ContentLength = reading, 100
+	r.Body, r.ContentLength = forward.NewBody(reading, func() { reading.Close() }), 100
 	_, err := w.do(context.Background(), r)
 	w.Equal(err.Verdict, verdict.MayHaveRun)
 
@@ -163,12 +166,12 @@
 func TestRightsAreCheckedAfterQueue(t *testing.T) {
 	for name, lose := range map[string]func(w *world){
 		"session": func(w *world) { w.validFor(0) },
-		"lease":   func(w *world) { w.pass(1500 * time.Millisecond); w.validFor(time.Hour) },
+		"lease":   func(w *world) { w.pass(150 * time.Millisecond) },
 		"epoch":   func(w *world) { w.moveSlice(0, "b1", 70) },
 		"revoke":  func(w *world) { w.releaseSlice(0) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, nil).ready()
+			w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) { c.BackendLeaseTTL = 100 * time.Millisecond }).ready()
 			entered, release := make(chan struct{}), make(chan struct{})
 			w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-release }
 			done := make(chan *verdict.Error, 2)
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/forward"
 	"github.com/agatestep/agatestep/internal/service"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/verdict"
@@ -225,7 +226,7 @@
 	r := &Request{ID: id, Service: "desk", Backend: "b1", Keyed: true, Hash: 1, Epoch: 5,
 		Deadline: w.clock.Now().Add(2 * time.Second), Method: method, URI: "/x?y=1", Host: "desk.example", Header: http.Header{}}
 	if body != "" {
-		r.Body, r.ContentLength = strings.NewReader(body), int64(len(body))
+		r.Body, r.ContentLength = forward.NewBody(strings.NewReader(body), nil), int64(len(body))
 	}
 	return r
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -18,7 +18,7 @@
 // ServeHTTP implements http.Handler.
 func (h *relayHandler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	id := in.Header.Get(wire.HeaderRequestID)
-	r, err := h.d.relayed(in)
+	r, err := h.d.relayed(w, in)
 	if err != nil {
 		forward.WriteRefusal(w, err, id)
 		return
@@ -36,7 +36,7 @@
 }
 
 // relayed reads a request from the relay hop.
-func (d *Dispatcher) relayed(in *http.Request) (*Request, *verdict.Error) {
+func (d *Dispatcher) relayed(w http.ResponseWriter, in *http.Request) (*Request, *verdict.Error) {
 	h := in.Header
 	r := &Request{ID: h.Get(wire.HeaderRequestID), Service: h.Get(wire.HeaderService), Backend: h.Get(wire.HeaderBackend),
 		Method: in.Method, URI: in.RequestURI, Host: in.Host, Header: forward.RequestHeader(h), ContentLength: in.ContentLength}
@@ -61,7 +61,7 @@
 		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBodyTooLarge, "the body exceeds the cap of the dispatcher")
 	}
 	if in.ContentLength != 0 {
-		r.Body = in.Body
+		r.Body = forward.StreamedBody(w, in.Body)
 	}
 	forward.RemoveInternal(r.Header)
 	return r, nil
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/forward"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -29,8 +29,8 @@
 	Host   string
 	// Header holds the end-to-end headers; the dispatcher does not change it.
 	Header        http.Header
-	Body          io.Reader // nil when there is none
-	ContentLength int64     // -1 when unknown
+	Body          *forward.Body // nil when there is none
+	ContentLength int64         // -1 when unknown
 }
 
 // stamp is what the dispatcher states of its own rights in a forwarded request.
@@ -67,3 +67,9 @@
 	}
 	return out.WithContext(ctx), nil
 }
+
+func (r *Request) closeBody() {
+	if r.Body != nil {
+		_ = r.Body.Close()
+	}
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -30,9 +30,9 @@
 	host       string
 	header     http.Header
 	length     int64
-	held       []byte        // the whole body when it is small
-	body       io.Reader     // nil when there is no body
-	last       *forward.Body // body of the last attempt when it is streamed
+	held       []byte               // the whole body when it is small
+	stream     func() *forward.Body // the body when it is streamed
+	last       *forward.Body        // body of the last attempt when it is streamed
 }
 
 // requestIDPattern is the form of request ids that callers may choose.
@@ -130,26 +130,29 @@
 	case r.ContentLength > limit:
 		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBodyTooLarge, "the body exceeds its cap")
 	case r.ContentLength < 0 || r.ContentLength > h.cfg.Limits.ReplayBytes:
-		c.body = http.MaxBytesReader(w, r.Body, limit)
+		body := http.MaxBytesReader(w, r.Body, limit)
+		c.stream = func() *forward.Body { return forward.StreamedBody(w, body) }
 		return nil
 	}
 	held, err := io.ReadAll(r.Body)
 	if err != nil {
 		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body broke off")
 	}
-	c.held, c.body = held, bytes.NewReader(held)
+	c.held = held
 	return nil
 }
 
+func (c *call) hasBody() bool { return c.held != nil || c.stream != nil }
+
 // attemptBody returns the body for one attempt; it is nil when there is none.
-func (c *call) attemptBody() io.Reader {
+func (c *call) attemptBody() *forward.Body {
 	switch {
 	case c.held != nil:
-		return bytes.NewReader(c.held)
-	case c.body == nil:
+		return forward.NewBody(bytes.NewReader(c.held), nil)
+	case c.stream == nil:
 		return nil
 	}
-	c.last = forward.NewBody(c.body)
+	c.last = c.stream()
 	return c.last
 }
 
@@ -159,13 +162,13 @@
 	if c.last == nil {
 		return true
 	}
-	c.last.Close()
+	_ = c.last.Close()
 	return !c.last.Touched()
 }
 
 // closeBody ends the body of the last attempt, which its transport may still read.
 func (c *call) closeBody() {
 	if c.last != nil {
-		c.last.Close()
+		_ = c.last.Close()
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,7 @@
 		h.refuse(w, err, id)
 		return
 	}
-	if c.body != nil {
+	if c.hasBody() {
 		// Lets an early answer pass while the body is still being sent.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -27,10 +27,8 @@
 	if err != nil {
 		return nil, err
 	}
-	var body *forward.Body
 	if r.Body != nil {
-		body = forward.NewBody(r.Body)
-		out.Body = body
+		out.Body = r.Body
 	}
 	resp, err := forward.Send(ctx, h.relay, out, nil)
 	if err != nil {
--- a/internal/entry/unkeyed.go
+++ b/internal/entry/unkeyed.go
@@ -54,7 +54,7 @@
 // twice, sends it to a second backend server as well. The first answer wins.
 func (h *Handler) attemptHedged(ctx context.Context, c *call, r route, attempt int, tried map[string]bool) (*http.Response, *verdict.Error) {
 	delay, known := h.hedgeAfter(c)
-	if !known || !c.idempotent || c.body != nil {
+	if !known || !c.idempotent || c.hasBody() {
 		return h.observed(ctx, c, r, attempt)
 	}
 	replies := make(chan reply, 2)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -67,6 +67,7 @@
 	mu     sync.Mutex
 	writes int
 	sealed bool
+	body   *Body // of the request that the connection carries
 }
 
 // Write implements net.Conn.
@@ -81,12 +82,28 @@
 	return c.Conn.Write(p)
 }
 
-func (c *conn) started() int {
+// carry notes the body of the next request and returns the number of writes so far.
+func (c *conn) carry(body *Body) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.body = body
 	return c.writes
 }
 
+// Close implements net.Conn. It ends a pending read of the request body, which
+// http.Transport waits for before it reports that the connection is closed.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	body := c.body
+	c.body = nil
+	c.mu.Unlock()
+	err := c.Conn.Close()
+	if body != nil {
+		body.abort()
+	}
+	return err
+}
+
 // seal closes the connection and returns the number of writes that were
 // attempted; no write is attempted after it.
 func (c *conn) seal() int {
@@ -94,6 +111,6 @@
 	c.sealed = true
 	n := c.writes
 	c.mu.Unlock()
-	c.Conn.Close()
+	_ = c.Close()
 	return n
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -7,25 +7,37 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
-// Body is a request body that the transport cannot replay. It can be closed
-// while the transport reads it.
+// Body is a request body that the transport cannot replay. It can be closed and
+// aborted while the transport reads it.
 type Body struct {
-	mu     sync.Mutex
-	r      io.Reader
-	closed bool
-	read   bool
+	mu      sync.Mutex
+	r       io.Reader
+	stop    func()
+	closed  bool
+	read    bool
+	reading bool
 }
 
-// NewBody wraps r, which may be nil.
-func NewBody(r io.Reader) *Body {
+// NewBody wraps r, which may be nil. stop makes a pending read of r return; it
+// may be nil when reads of r do not block. Without it a broken connection would
+// be noticed only after the read, because http.Transport waits for it.
+func NewBody(r io.Reader, stop func()) *Body {
 	if r == nil {
 		r = http.NoBody
 	}
-	return &Body{r: r}
+	return &Body{r: r, stop: stop}
+}
+
+// StreamedBody wraps the body of an incoming request whose answer is written to w.
+func StreamedBody(w http.ResponseWriter, r io.Reader) *Body {
+	past := time.Unix(1, 0)
+	// An error means that the connection cannot be read any more, so no read is pending.
+	return NewBody(r, func() { _ = http.NewResponseController(w).SetReadDeadline(past) })
 }
 
 // Read implements io.Reader.
@@ -35,9 +47,13 @@
 		b.mu.Unlock()
 		return 0, errors.New("request body is closed")
 	}
-	b.read = true
+	b.read, b.reading = true, true
+	b.mu.Unlock()
+	n, err := b.r.Read(p)
+	b.mu.Lock()
+	b.reading = false
 	b.mu.Unlock()
-	return b.r.Read(p)
+	return n, err
 }
 
 // Close implements io.Closer; no read begins after it. It leaves the wrapped
@@ -49,6 +65,17 @@
 	return nil
 }
 
+// abort closes the body and ends a pending read.
+func (b *Body) abort() {
+	b.mu.Lock()
+	pending := b.reading && !b.closed
+	b.closed = true
+	b.mu.Unlock()
+	if pending && b.stop != nil {
+		b.stop()
+	}
+}
+
 // Touched reports whether a read has begun. After Close the answer is final.
 func (b *Body) Touched() bool {
 	b.mu.Lock()
@@ -58,12 +85,13 @@
 
 // Send sends req once over t. The check runs when a connection was obtained and
 // before anything is written; if it fails, nothing is written. The request must
-// have an absolute URL. A returned error is a *verdict.Error.
+// have an absolute URL and, if any, a *Body. A returned error is a *verdict.Error.
 func Send(ctx context.Context, t http.RoundTripper, req *http.Request, check func() *verdict.Error) (*http.Response, error) {
+	preventReplay(req)
 	x := &exchange{check: check}
+	x.body, _ = req.Body.(*Body)
 	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
-	preventReplay(req)
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return nil, x.failure(ctx, err)
@@ -88,7 +116,7 @@
 func preventReplay(req *http.Request) {
 	req.GetBody = nil
 	if req.Body == nil || req.Body == http.NoBody {
-		req.Body = NewBody(nil)
+		req.Body = NewBody(nil, nil)
 		if req.ContentLength == 0 {
 			// Without this, the transport would send an empty chunked body.
 			req.TransferEncoding = []string{"identity"}
@@ -98,6 +126,7 @@
 
 type exchange struct {
 	check    func() *verdict.Error
+	body     *Body
 	conn     *conn
 	obtained bool
 	before   int
@@ -108,7 +137,7 @@
 	x.obtained = true
 	x.conn, _ = info.Conn.(*conn)
 	if x.conn != nil {
-		x.before = x.conn.started()
+		x.before = x.conn.carry(x.body)
 	}
 	if x.check == nil {
 		return
