Keep heavy slices apart when standbys and moves are chosen

Cause: under Zipf(1.0) keys the standbys of heavy slices went to servers that own a heavy slice already, and no single move could part them: max/mean 1.86 after the loss of a data centre and 2.17 after its return (stock). A server that returned stayed at 0.42 to 0.66 of a fair load.

Change: standbys are scored by their load after the loss, with a server below the mean counted as at the mean, and by their heaviest slice. Standbys that the loss of a data centre would overload are replaced. Rebalance fills up to a fair load without slices that exceed it alone, and parts heavy slices that fit nowhere.

Ruled out: scoring by pair loads only (the figures above); scoring without the heaviest slice (1.43 after the loss of a data centre, stock).

Conclusion: the targets hold after the rebalance; right at the loss max/mean is up to 1.55 under Zipf keys until the light slices have moved.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 	"testing"
@@ -237,12 +238,7 @@
 	w.settle()
 	before := w.imbalance(w.owners())
 	left := remaining(w.all, what)
-	must := 0.0
-	for _, s := range w.slices {
-		if !contains(left, s.Owner) {
-			must += s.Load
-		}
-	}
+	must := w.mustMove(left)
 	w.alive, w.moved, w.moves = left, 0, 0
 	w.take(Assign(w.alive, w.slices))
 	at := w.imbalance(w.owners())
@@ -255,6 +251,22 @@
 	return out
 }
 
+// mustMove is the load of the lost slices, and what the least loaded server has
+// to give up when it takes over a single heavy key: the rest of 1.15 x the mean.
+func (w *world) mustMove(left []Server) float64 {
+	p, must := newPlan(left, w.slices), 0.0
+	least, mean := slices.Min(p.own), w.total/float64(len(left))
+	for i, s := range w.slices {
+		if p.owner[i] == none {
+			must += s.Load
+			if w.ownKeys[w.starts[i]] {
+				must += min(least, max(min(s.Load, mean)+least-DefaultTarget*mean, 0))
+			}
+		}
+	}
+	return must
+}
+
 func contains(servers []Server, name string) bool {
 	for _, s := range servers {
 		if s.Name == name {
--- a/internal/placement/rebalance.go
+++ b/internal/placement/rebalance.go
@@ -15,7 +15,7 @@
 	// Target, so that small changes of load start no new one. Zero means halfway
 	// between 1 and Target.
 	Goal float64
-	// Floor is the load relative to the mean below which a server attracts slices
+	// Floor is the load relative to a fair one below which a server attracts slices
 	// even within Target, so that a server that returned is used. Zero disables it.
 	Floor float64
 	// MaxMoves bounds the slices that one call moves. Zero means DefaultMaxMoves.
@@ -67,7 +67,8 @@
 // rebalance is a plan with the slices by owner.
 type rebalance struct {
 	*plan
-	mean  float64
+	mean  float64 // load per weight of all servers
+	fair  float64 // the same without slices that alone exceed it on their owner
 	held  [][]int // slices by owner
 	moved map[int]bool
 	full  []bool // servers that can give up no further slice
@@ -75,25 +76,51 @@
 
 func newRebalance(p *plan) *rebalance {
 	r := &rebalance{plan: p, held: make([][]int, len(p.servers)), moved: map[int]bool{}, full: make([]bool, len(p.servers))}
-	total, weight := 0.0, 0.0
-	for s := range p.servers {
-		total, weight = total+p.own[s], weight+p.weight[s]
-	}
-	r.mean = total / weight
 	for i, o := range p.owner {
 		if o != none {
 			r.held[o] = append(r.held[o], i)
 		}
 	}
+	r.setMeans()
 	return r
 }
 
+// setMeans computes the mean, and the fair load: what is left for a server when
+// each slice that exceeds a fair load has its owner for itself.
+func (r *rebalance) setMeans() {
+	total, weight := 0.0, 0.0
+	top := make([]float64, len(r.servers))
+	for s := range r.servers {
+		total, weight = total+r.own[s], weight+r.weight[s]
+		for _, i := range r.held[s] {
+			top[s] = max(top[s], r.load[i])
+		}
+	}
+	r.mean, r.fair = total/weight, total/weight
+	alone := make([]bool, len(r.servers))
+	for changed := true; changed; {
+		changed = false
+		for s := range r.servers {
+			if !alone[s] && top[s] > r.fair*r.weight[s] && weight > r.weight[s] {
+				alone[s], changed = true, true
+				total, weight = total-top[s], weight-r.weight[s]
+				r.fair = total / weight
+			}
+		}
+	}
+}
+
 // level is the load of server s relative to the mean.
 func (r *rebalance) level(s int) float64 { return r.own[s] / r.weight[s] / r.mean }
 
+// starved reports whether server s is below the floor.
+func (r *rebalance) starved(s int, opts Options) bool {
+	return r.own[s]/r.weight[s] < opts.Floor*r.fair
+}
+
 func (r *rebalance) needed(opts Options) bool {
 	for s := range r.servers {
-		if l := r.level(s); (l > opts.Target && len(r.held[s]) > 1) || l < opts.Floor {
+		if (r.level(s) > opts.Target && len(r.held[s]) > 1) || r.starved(s, opts) {
 			return true
 		}
 	}
@@ -105,10 +132,14 @@
 func (r *rebalance) next(opts Options) (Move, bool) {
 	for {
 		from, to := r.extremes()
-		if from == none || (r.level(from) <= opts.Goal && r.level(to) >= opts.Floor) {
+		if from == none || from == to || (r.level(from) <= opts.Goal && !r.starved(to, opts)) {
 			return Move{}, false
 		}
-		if i := r.pick(from, to); i != none {
+		i := r.pick(from, to)
+		if i == none && r.level(from) > opts.Target {
+			i = r.pickPair(from, to)
+		}
+		if i != none {
 			r.shift(i, from, to)
 			return Move{Index: i, To: r.servers[to].Name}, true
 		}
@@ -129,14 +160,14 @@
 	return from, to
 }
 
-// pick returns the heaviest slice of from that leaves to below the level that
-// from had, and that does not push from far below the mean.
+// pick returns the heaviest slice that brings neither from below nor to above
+// the fair load.
 func (r *rebalance) pick(from, to int) int {
 	best := none
-	excess := (r.level(from) - 1) * r.mean * r.weight[from]
-	room := (1 - r.level(to)) * r.mean * r.weight[to]
+	excess := r.own[from] - r.fair*r.weight[from]
+	room := r.fair*r.weight[to] - r.own[to]
 	for _, i := range r.held[from] {
-		if r.moved[i] || r.load[i] > max(min(excess, room), 0) {
+		if r.moved[i] || r.load[i] > min(excess, room) {
 			continue
 		}
 		if best == none || r.load[i] > r.load[best] {
@@ -146,6 +177,20 @@
 	return best
 }
 
+// pickPair returns the slice whose move lowers the higher load of the two servers
+// most. It parts heavy slices that fit nowhere, after which their new owner gives
+// up its light ones.
+func (r *rebalance) pickPair(from, to int) int {
+	best, lowest := none, r.own[from]/r.weight[from]
+	for _, i := range r.held[from] {
+		higher := max((r.own[from]-r.load[i])/r.weight[from], (r.own[to]+r.load[i])/r.weight[to])
+		if !r.moved[i] && higher < lowest {
+			best, lowest = i, higher
+		}
+	}
+	return best
+}
+
 func (r *rebalance) shift(i, from, to int) {
 	r.setOwner(i, to)
 	r.moved[i] = true
--- a/internal/placement/standby.go
+++ b/internal/placement/standby.go
@@ -2,10 +2,40 @@
 
 import "sort"
 
+// standbySlack is the load of a standby after the loss of a data centre, relative
+// to the mean, from which slices that are well placed get another standby too.
+const standbySlack = 1.1
+
 // spread tracks where load goes when a server or a data centre is lost.
 type spread struct {
 	fromServer map[[2]int]float64 // owner, standby: load
 	fromZone   map[[2]int]float64 // data centre of the owner, standby: load
+	base       []float64          // load of each server, at least the mean
+	zoneMean   []float64          // load per weight after the loss of each data centre
+	heaviest   []float64          // load of the heaviest slice of each server
+}
+
+// newSpread counts a server below the mean as one at the mean, because slices
+// move to it soon.
+func (p *plan) newSpread() *spread {
+	sp := &spread{fromServer: map[[2]int]float64{}, fromZone: map[[2]int]float64{}}
+	total, weight := 0.0, 0.0
+	zoneWeight := make([]float64, p.zones)
+	for s := range p.servers {
+		total, weight = total+p.own[s], weight+p.weight[s]
+		zoneWeight[p.zone[s]] += p.weight[s]
+	}
+	for s := range p.servers {
+		sp.base = append(sp.base, max(p.own[s], total/weight*p.weight[s]))
+	}
+	sp.heaviest = make([]float64, len(p.servers))
+	for i, o := range p.owner {
+		sp.heaviest[o] = max(sp.heaviest[o], p.load[i])
+	}
+	for z := range zoneWeight {
+		sp.zoneMean = append(sp.zoneMean, total/max(weight-zoneWeight[z], 1))
+	}
+	return sp
 }
 
 func (p *plan) addStandby(sp *spread, i int, sign float64) {
@@ -14,19 +44,19 @@
 	sp.fromZone[[2]int{p.zone[o], s}] += sign * p.load[i]
 }
 
-// validStandby reports whether the standby of slice i may stay.
-func (p *plan) validStandby(i int) bool {
-	o, s := p.owner[i], p.standby[i]
+// mayStandBy reports whether server s may be the standby of slices of server o.
+func (p *plan) mayStandBy(o, s int) bool {
 	return s != none && s != o && (p.zones == 1 || p.zone[s] != p.zone[o])
 }
 
 // repairStandbys replaces standbys that are missing or badly placed, heaviest
-// slices first, such that a loss spreads evenly.
+// slices first, such that a loss spreads evenly. Then it replaces those on
+// servers that the loss of a data centre would overload.
 func (p *plan) repairStandbys() {
-	sp := &spread{fromServer: map[[2]int]float64{}, fromZone: map[[2]int]float64{}}
+	sp := p.newSpread()
 	var broken []int
 	for i := range p.owner {
-		if p.validStandby(i) {
+		if p.mayStandBy(p.owner[i], p.standby[i]) {
 			p.addStandby(sp, i, 1)
 		} else {
 			broken = append(broken, i)
@@ -34,22 +64,37 @@
 	}
 	sort.SliceStable(broken, func(a, b int) bool { return p.load[broken[a]] > p.load[broken[b]] })
 	for _, i := range broken {
-		p.standby[i] = p.chooseStandby(sp, i)
-		if p.standby[i] != none {
+		if p.standby[i] = p.chooseStandby(sp, i); p.standby[i] != none {
 			p.addStandby(sp, i, 1)
 		}
 	}
+	for i := range p.owner {
+		if p.standby[i] != none && p.overloads(sp, i) {
+			p.addStandby(sp, i, -1)
+			p.standby[i] = p.chooseStandby(sp, i)
+			p.addStandby(sp, i, 1)
+		}
+	}
+}
+
+// overloads reports whether the standby of slice i would be overloaded by the
+// loss of the owner's data centre.
+func (p *plan) overloads(sp *spread, i int) bool {
+	z, s := p.zone[p.owner[i]], p.standby[i]
+	return (sp.base[s]+sp.fromZone[[2]int{z, s}])/p.weight[s] > standbySlack*sp.zoneMean[z]
 }
 
 // chooseStandby returns the server on which a loss of the owner of slice i, or
-// of the owner's data centre, weighs least.
+// of the owner's data centre, weighs least. Two heavy slices are kept apart,
+// because their owner could give up neither without overloading another server.
 func (p *plan) chooseStandby(sp *spread, i int) int {
 	o, best, bestScore := p.owner[i], none, 0.0
-	for s := range p.servers {
-		if s == o || (p.zones > 1 && p.zone[s] == p.zone[o]) {
+	for k := range p.servers {
+		s := (o + 1 + k) % len(p.servers) // equal ones in another order for each owner
+		if !p.mayStandBy(o, s) {
 			continue
 		}
-		score := p.standbyScore(sp, o, s)
+		score := p.standbyScore(sp, o, s) + min(p.load[i], sp.heaviest[s])/p.weight[s]
 		if best == none || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -57,9 +102,9 @@
 	return best
 }
 
-// standbyScore is the load that server s would take over from server o and from
-// its data centre. The sum lets the loss of the server decide where data
-// centres are even, and the other way round.
+// standbyScore adds the load of server s after the loss of server o and that
+// after the loss of o's data centre. The sum lets the loss of the server decide
+// where data centres are even, and the other way round.
 func (p *plan) standbyScore(sp *spread, o, s int) float64 {
-	return (sp.fromServer[[2]int{o, s}] + sp.fromZone[[2]int{p.zone[o], s}]) / p.weight[s]
+	return (2*sp.base[s] + sp.fromServer[[2]int{o, s}] + sp.fromZone[[2]int{p.zone[o], s}]) / p.weight[s]
 }
