Add the stand-in backend server

Ruled out: a lease counted from the arrival of the reply, which a freeze would extend; a slot given back after the answer was written, because the next request on the connection would be shed. Before and after: no code before.

--- /dev/null
+++ b/internal/standin/handler.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+const maxOrderBytes = 64 << 20
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.OrderPath, s.frozen(s.takeOrder))
+	mux.HandleFunc("GET "+wire.OrderPath, s.frozen(s.readOrder))
+	mux.HandleFunc("GET "+wire.HealthPath, s.frozen(s.health))
+	if s.config.Control {
+		mux.HandleFunc("POST "+ControlPath, s.control)
+	}
+	mux.HandleFunc("/", s.frozen(s.work))
+	return mux
+}
+
+// frozen delays a handler while the server is frozen.
+func (s *Server) frozen(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.gate.pass(s.stopped.Done())
+		next(w, r)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error here means that the peer is gone; it learns nothing either way.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Server) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var order wire.Order
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrderBytes))
+	err := decoder.Decode(&order)
+	s.mu.Lock()
+	var reason verdict.Reason
+	if err == nil {
+		reason, err = s.fence.accept(order, &s.config)
+	}
+	reply := s.orderReply()
+	reply.Accepted, reply.Reason = err == nil && reason == "", string(reason)
+	if reply.Accepted {
+		s.stats.Orders++
+	} else {
+		s.stats.OrdersBad++
+	}
+	s.mu.Unlock()
+	switch {
+	case err != nil:
+		reply.Reason = err.Error()
+		writeJSON(w, http.StatusBadRequest, reply)
+	case reason != "":
+		w.Header().Set(verdict.ReasonHeader, string(reason))
+		writeJSON(w, http.StatusConflict, reply)
+	default:
+		writeJSON(w, http.StatusOK, reply)
+	}
+}
+
+// orderReply describes the last accepted order. The caller holds mu.
+func (s *Server) orderReply() wire.OrderReply {
+	slices := s.fence.order.Slices
+	if slices == nil {
+		slices = []wire.Range{}
+	}
+	return wire.OrderReply{
+		Accepted: s.fence.ordered, Incarnation: s.fence.incarnation,
+		Epoch: s.fence.order.Epoch, Slices: slices,
+	}
+}
+
+func (s *Server) readOrder(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	reply := s.orderReply()
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, reply)
+}
+
+// Health is the answer on wire.HealthPath. Like the load reports, it may lag.
+type Health struct {
+	Backend string          `json:"backend"`
+	Service string          `json:"service"`
+	Status  string          `json:"status"` // ok, cold or leaving
+	Load    wire.LoadReport `json:"load"`
+}
+
+// health answers a probe, which occupies a slot for ProbeCost.
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	limit, cold := s.limit()
+	took, err := s.capacity.acquire(r.Context(), limit, s.config.Queue)
+	if err != nil || !took {
+		s.refuse(w, http.StatusServiceUnavailable, ReasonShed, "no slot is free for the probe")
+		return
+	}
+	s.wait(r.Context(), s.config.ProbeCost)
+	s.capacity.release(limit)
+	health := Health{Backend: s.config.Backend, Service: s.config.Service, Status: "ok", Load: s.reportedLoad()}
+	s.mu.Lock()
+	s.stats.Probes++
+	lying := s.faults.LieLoad
+	switch {
+	case s.leaving:
+		health.Status = "leaving"
+	case cold && !lying:
+		health.Status = "cold"
+	}
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, health)
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	var request ControlRequest
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		http.Error(w, "control request: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(request.Faults)
+	if request.TurnColdMs > 0 {
+		s.TurnCold(time.Duration(request.TurnColdMs) * time.Millisecond)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// refusal is the body of a refused or failed request.
+type refusal struct {
+	Reason verdict.Reason `json:"reason"`
+	Detail string         `json:"detail"`
+}
+
+// refuse answers a request that did not run.
+func (s *Server) refuse(w http.ResponseWriter, status int, reason verdict.Reason, detail string) {
+	s.fail(w, status, verdict.NotRun, reason, detail)
+}
+
+func (s *Server) fail(w http.ResponseWriter, status int, v verdict.Verdict, reason verdict.Reason, detail string) {
+	w.Header().Set(verdict.Header, v.String())
+	w.Header().Set(verdict.ReasonHeader, string(reason))
+	writeJSON(w, status, refusal{Reason: reason, Detail: detail})
+}
