--- a/internal/service/validate.go
+++ b/internal/service/validate.go
@@ -36,14 +36,10 @@
 		"is %q; must be local or any", f.DataCentres.Prefer)
 	d.Require(f.Prefer == PreferAvailability || f.Prefer == PreferTailLatency, "prefer",
 		"is %q; must be %s or %s", f.Prefer, PreferAvailability, PreferTailLatency)
-	requireRange(d, "max_body_bytes", f.MaxBodyBytes, 0, maxBodyBytes)
+	yamldoc.RequireRange(d, "max_body_bytes", f.MaxBodyBytes, 0, maxBodyBytes)
 	validateExpectations(f, d)
 }
 
-func requireRange[T int | int64 | time.Duration](d *yamldoc.Document, field string, value, low, high T) {
-	d.Require(value >= low && value <= high, field, "is %v; must be between %v and %v", value, low, high)
-}
-
 func requireEntries(d *yamldoc.Document, field string, n int) {
 	d.Require(n <= MaxEntries, field, "has %d entries; at most %d are allowed", n, MaxEntries)
 }
@@ -94,27 +90,27 @@
 	d.Require(http.CanonicalHeaderKey(f.Key.Header) != "Host", "key.header", "must not be Host")
 	d.Require(!d.Has("key.query") || f.Key.Query != "", "key.query", "must be the name of a query parameter")
 	if d.Has("key.path_segment") {
-		requireRange(d, "key.path_segment", f.Key.PathSegment, 0, 63)
+		yamldoc.RequireRange(d, "key.path_segment", f.Key.PathSegment, 0, 63)
 	}
-	requireRange(d, "slices", f.Slices, 1, MaxSlices)
+	yamldoc.RequireRange(d, "slices", f.Slices, 1, MaxSlices)
 }
 
 func validateBackend(f *File, d *yamldoc.Document) {
-	requireRange(d, "backend.slots", f.Backend.Slots, 1, MaxSlots)
-	requireRange(d, "backend.connections", f.Backend.Connections, 1, MaxConnections)
+	yamldoc.RequireRange(d, "backend.slots", f.Backend.Slots, 1, MaxSlots)
+	yamldoc.RequireRange(d, "backend.connections", f.Backend.Connections, 1, MaxConnections)
 	d.Require(f.Backend.Connections >= f.Backend.Slots, "backend.connections",
 		"is %d; must be at least backend.slots, %d", f.Backend.Connections, f.Backend.Slots)
-	requireRange(d, "backend.connection_cost", f.Backend.ConnectionCost, 0, maxCost)
-	requireRange(d, "backend.probe_cost", f.Backend.ProbeCost, 0, maxCost)
-	requireRange(d, "cold_start.limit", f.ColdStart.Limit, 1, MaxSlots)
+	yamldoc.RequireRange(d, "backend.connection_cost", f.Backend.ConnectionCost, 0, maxCost)
+	yamldoc.RequireRange(d, "backend.probe_cost", f.Backend.ProbeCost, 0, maxCost)
+	yamldoc.RequireRange(d, "cold_start.limit", f.ColdStart.Limit, 1, MaxSlots)
 	d.Require(f.ColdStart.Limit <= f.Backend.Slots, "cold_start.limit",
 		"is %d; must be at most backend.slots, %d", f.ColdStart.Limit, f.Backend.Slots)
-	requireRange(d, "cold_start.ramp", f.ColdStart.Ramp, 0, maxRamp)
+	yamldoc.RequireRange(d, "cold_start.ramp", f.ColdStart.Ramp, 0, maxRamp)
 }
 
 func validateTimes(f *File, d *yamldoc.Document) {
-	requireRange(d, "deadline.default", f.Deadline.Default, time.Millisecond, MaxDeadline)
-	requireRange(d, "deadline.max", f.Deadline.Max, time.Millisecond, MaxDeadline)
+	yamldoc.RequireRange(d, "deadline.default", f.Deadline.Default, time.Millisecond, MaxDeadline)
+	yamldoc.RequireRange(d, "deadline.max", f.Deadline.Max, time.Millisecond, MaxDeadline)
 	d.Require(f.Deadline.Default <= f.Deadline.Max, "deadline.default",
 		"is %v; must be at most deadline.max, %v", f.Deadline.Default, f.Deadline.Max)
 }
--- a/internal/yamldoc/yamldoc.go
+++ b/internal/yamldoc/yamldoc.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -103,6 +104,11 @@
 	return ok
 }
 
+// RequireRange checks that the value of a field lies between low and high.
+func RequireRange[T int | int64 | time.Duration](d *Document, field string, value, low, high T) {
+	d.Require(value >= low && value <= high, field, "is %v; must be between %v and %v", value, low, high)
+}
+
 func (d *Document) syntaxProblem(err error) Problem {
 	p := Problem{File: d.name, Line: 1, Reason: "invalid YAML: " + err.Error()}
 	var located yaml.Error
