Add scripted scenarios with real processes

Cause: the promises must hold in separate processes under kills and freezes, judged by what the backend servers ran and not by the router's opinion. Ruled out: building the programs inside the tests, because the test binary can act as each program and then runs under the race detector. Change: testscript scenarios, commands of the daemon and the stand-in as packages, quickstart with the real settings.

--- /dev/null
+++ b/cmd/agatestepd/main.go
@@ -0,0 +1,10 @@
+// Command agatestepd is the daemon that runs on each host of the system.
+package main
+
+import (
+	"os"
+
+	"github.com/agatestep/agatestep/internal/daemoncli"
+)
+
+func main() { os.Exit(daemoncli.Run(os.Args[1:])) }
--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -38,6 +38,7 @@
 
 echo "== build"
 go build -o "$work/" ./cmd/agatestepd ./cmd/agatestep ./cmd/agatestep-standin
+cp examples/quickstart/h?.yaml "$work" # the data folder counts from the settings file
 cd "$work"
 tool() { ./agatestep --admin 127.0.0.11:7104,127.0.0.12:7104,127.0.0.13:7104 "$@"; }
 
@@ -47,7 +48,7 @@
 echo "== start three daemons, in three data centres"
 declare -A pid_of
 for i in 1 2 3; do
-  ./agatestepd run --settings "$repo/examples/quickstart/h$i.yaml" >"h$i.log" 2>&1 &
+  ./agatestepd run --settings "h$i.yaml" >"h$i.log" 2>&1 &
   pids+=($!); pid_of[h$i]=$!
 done
 for i in 1 2 3; do wait_for "the admin listener of h$i" curl -sS "http://127.0.0.1$i:7104/v1/replica"; done
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -1,5 +1,5 @@
-// Command agatestepd is the daemon that runs on each host of the system.
-package main
+// Package daemoncli is the command line of the daemon.
+package daemoncli
 
 import (
 	"context"
@@ -87,12 +87,29 @@
 	return soft, hard
 }
 
-func main() {
+// Run parses the command line, runs it and returns the exit code.
+func Run(args []string) int {
 	var r root
-	ctx := kong.Parse(&r, kong.Name("agatestepd"),
+	exit := -1
+	parser, err := kong.New(&r, kong.Name("agatestepd"), kong.Exit(func(code int) { exit = code }),
 		kong.Description("The daemon of agatestep, the router for servers that own keys exclusively."))
+	if err != nil {
+		return fail(err)
+	}
+	ctx, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		return fail(err)
+	}
 	if err := ctx.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "agatestepd:", err)
-		os.Exit(1)
+		return fail(err)
 	}
+	return 0
+}
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "agatestepd:", err)
+	return 1
 }
--- /dev/null
+++ b/internal/scenario/cluster_test.go
@@ -0,0 +1,246 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/command"
+)
+
+const clusterKey = "cluster"
+
+// patience bounds every wait for a condition; it is far above the targets,
+// which are checked by the commands that state a bound.
+const patience = 30 * time.Second
+
+// cluster is the system that one script runs. Each script has loopback
+// addresses of its own, so that scripts run side by side.
+type cluster struct {
+	env    *testscript.Env
+	dir    string
+	prefix string // first three bytes of the addresses
+	procs  map[string]*process
+	load   *load
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+var scripts atomic.Uint32
+
+func setup(env *testscript.Env) error {
+	n := scripts.Add(1)
+	pid := os.Getpid()
+	c := &cluster{
+		env: env, dir: env.WorkDir, procs: map[string]*process{},
+		prefix: fmt.Sprintf("127.%d.%d", 1+(pid+int(n)*7)%250, 1+(pid/250+int(n))%250),
+	}
+	env.Values[clusterKey] = c
+	env.Setenv("PREFIX", c.prefix)
+	env.Setenv("AGATESTEP_ADMIN", c.address("h1", 7104)+","+c.address("h2", 7104)+","+c.address("h3", 7104))
+	env.Defer(c.killAll)
+	return nil
+}
+
+func of(ts *testscript.TestScript) *cluster { return ts.Value(clusterKey).(*cluster) }
+
+func (c *cluster) address(host string, port int) string {
+	return fmt.Sprintf("%s.%s:%d", c.prefix, strings.TrimPrefix(host, "h"), port)
+}
+
+// settings places host hN in data centre dcN; h1 to h3 are control replicas.
+func (c *cluster) settings(host string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "host: %s\ndata_centre: dc%s\n", host, strings.TrimPrefix(host, "h"))
+	b.WriteString("listen:\n")
+	for i, name := range []string{"traffic", "backends", "peer", "relay", "admin"} {
+		fmt.Fprintf(&b, "  %s: %s\n", name, c.address(host, 7100+i))
+	}
+	b.WriteString("control:\n  group: scenario\n  replicas:\n")
+	for _, r := range []string{"h1", "h2", "h3"} {
+		fmt.Fprintf(&b, "    - {host: %s, data_centre: dc%s, peer: %s}\n", r, r[1:], c.address(r, 7102))
+	}
+	fmt.Fprintf(&b, "data_folder: %s\n", c.dataFolder(host))
+	b.WriteString("tls: {mode: \"off\"}\nadmin: {insecure: true}\n")
+	return b.String()
+}
+
+func (c *cluster) dataFolder(host string) string { return filepath.Join(c.dir, "data", host) }
+
+func (c *cluster) run(ts *testscript.TestScript, name string, args ...string) {
+	log, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	ts.Check(err)
+	cmd := exec.Command(args[0], args[1:]...)
+	path, err := exec.LookPath(args[0])
+	if err != nil {
+		path = filepath.Join(filepath.SplitList(ts.Getenv("PATH"))[0], args[0])
+	}
+	cmd.Path = path
+	cmd.Dir, cmd.Stdout, cmd.Stderr = c.dir, log, log
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	c.procs[name] = p
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+}
+
+func (c *cluster) killAll() {
+	for _, p := range c.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		<-p.done
+	}
+}
+
+func (c *cluster) proc(ts *testscript.TestScript, name string) *process {
+	p, ok := c.procs[name]
+	if !ok {
+		ts.Fatalf("process %q was not started", name)
+	}
+	return p
+}
+
+// cmdStart starts daemons: start h1 h2 ...
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	for _, host := range args {
+		file := filepath.Join(c.dir, host+".yaml")
+		ts.Check(os.WriteFile(file, []byte(c.settings(host)), 0o644))
+		c.run(ts, host, "agatestepd", "run", "--settings", file)
+	}
+	for _, host := range args {
+		c.until(ts, "the admin listener of "+host, func() bool { return c.get(host, "/v1/status", nil) == nil })
+	}
+}
+
+// cmdUp starts h1 to h3 as one control group and publishes the files in services.
+func cmdUp(ts *testscript.TestScript, neg bool, _ []string) {
+	c := of(ts)
+	cmdStart(ts, neg, []string{"h1", "h2", "h3"})
+	ts.Check(ts.Exec("agatestep", "bootstrap", c.address("h1", 7104), c.address("h2", 7104), c.address("h3", 7104)))
+	ts.Check(ts.Exec("agatestep", "publish", "--wait", "30s", filepath.Join(c.dir, "services")))
+}
+
+// cmdBackend starts a stand-in: backend NAME SERVICE DC [FLAG...]
+func cmdBackend(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	entries := []string{c.address("h1", 7101), c.address("h2", 7101), c.address("h3", 7101)}
+	argv := []string{"agatestep-standin", "--backend", args[0], "--service", args[1], "--data-centre", args[2],
+		"--entry", strings.Join(entries, ","), "--record-file", filepath.Join(c.dir, args[0]+".record")}
+	c.run(ts, args[0], append(argv, args[3:]...)...)
+	c.until(ts, "backend server "+args[0], func() bool { return c.serving(args[0]) })
+}
+
+// cmdSignal signals a process: signal kill|term|stop|cont NAME
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	signals := map[string]syscall.Signal{
+		"kill": syscall.SIGKILL, "term": syscall.SIGTERM, "stop": syscall.SIGSTOP, "cont": syscall.SIGCONT,
+	}
+	for _, name := range args[1:] {
+		p := c.proc(ts, name)
+		ts.Check(p.cmd.Process.Signal(signals[args[0]]))
+		if args[0] != "kill" && args[0] != "term" {
+			continue
+		}
+		select {
+		case <-p.done:
+		case <-time.After(patience):
+			ts.Fatalf("%s did not end", name)
+		}
+		if code := p.cmd.ProcessState.ExitCode(); args[0] == "term" && code != 0 {
+			ts.Fatalf("%s ended with %s", name, p.cmd.ProcessState)
+		}
+	}
+}
+
+// cmdControlHost sets LEADER to the host that leads, and FOLLOWER and OTHER to the two others.
+func cmdControlHost(ts *testscript.TestScript, _ bool, _ []string) {
+	c := of(ts)
+	replicas := []string{"h1", "h2", "h3"}
+	c.until(ts, "a leader", func() bool {
+		for i, host := range replicas {
+			if c.leads(host) {
+				ts.Setenv("LEADER", host)
+				ts.Setenv("FOLLOWER", replicas[(i+1)%3])
+				ts.Setenv("OTHER", replicas[(i+2)%3])
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// cmdWipe removes the data folder of a host that is down.
+func cmdWipe(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(os.RemoveAll(of(ts).dataFolder(args[0])))
+}
+
+func (c *cluster) until(ts *testscript.TestScript, what string, met func() bool) {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		if met() {
+			return
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	ts.Fatalf("timed out waiting for %s", what)
+}
+
+// cmdReplace replaces the lost replica of a host by the empty one that runs there now.
+func cmdReplace(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	var s admin.Status
+	c.until(ts, "a leader that knows all members", func() bool {
+		for _, host := range []string{"h1", "h2"} {
+			if c.get(host, "/v1/status", &s) == nil && s.Control.Leading {
+				return true
+			}
+		}
+		return false
+	})
+	for _, m := range s.Control.Members {
+		if m.Host == args[0] {
+			ts.Check(ts.Exec("agatestep", "replace-replica", "--old", m.Replica, c.address(args[0], 7104)))
+			return
+		}
+	}
+	ts.Fatalf("host %s has no replica in %+v", args[0], s.Control.Members)
+}
+
+// cmdChurn makes a number of changes, one after the other, through h1.
+func cmdChurn(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	client := admin.NewClient([]string{of(ts).address("h1", 7104)}, "", nil)
+	for n := range count {
+		request := admin.DrainRequest{
+			RequestID: fmt.Sprintf("churn-%d", n), Kind: command.DrainDataCentre, Name: "dc2", Out: n%2 == 0,
+		}
+		ts.Check(client.Post(context.Background(), "/v1/drains", request, &struct{}{}))
+	}
+}
+
+// cmdSameRevision waits until two hosts route by the same revision.
+func cmdSameRevision(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	var a, b admin.Status
+	c.until(ts, "the same revision on "+strings.Join(args, " and "), func() bool {
+		return c.get(args[0], "/v1/status", &a) == nil && c.get(args[1], "/v1/status", &b) == nil &&
+			b.Session.Valid && a.Session.Revision == b.Session.Revision
+	})
+}
--- /dev/null
+++ b/internal/scenario/main_test.go
@@ -0,0 +1,50 @@
+// Package scenario runs scripted scenarios against real processes: daemons,
+// stand-in backend servers and the command-line tool, with kills, freezes and
+// operator commands between them. The scripts are in testdata.
+package scenario
+
+import (
+	"context"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/agatestep/agatestep/internal/cli"
+	"github.com/agatestep/agatestep/internal/daemoncli"
+	"github.com/agatestep/agatestep/internal/standin/standincli"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"agatestep":         func() { os.Exit(cli.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) },
+		"agatestepd":        func() { os.Exit(daemoncli.Run(os.Args[1:])) },
+		"agatestep-standin": func() { os.Exit(standincli.Run(os.Args[1:])) },
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":         cmdStart,
+			"up":            cmdUp,
+			"backend":       cmdBackend,
+			"signal":        cmdSignal,
+			"request":       cmdRequest,
+			"await":         cmdAwait,
+			"served":        cmdServed,
+			"load":          cmdLoad,
+			"judge":         cmdJudge,
+			"control-host":  cmdControlHost,
+			"wipe":          cmdWipe,
+			"replace":       cmdReplace,
+			"idle":          cmdIdle,
+			"busy":          cmdBusy,
+			"churn":         cmdChurn,
+			"same-revision": cmdSameRevision,
+			"judge-stop":    cmdJudgeStop,
+		},
+	})
+}
--- /dev/null
+++ b/internal/scenario/traffic_test.go
@@ -0,0 +1,174 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+func (c *cluster) get(host, path string, into any) error {
+	if into == nil {
+		into = &struct{}{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return admin.NewClient([]string{c.address(host, 7104)}, "", nil).Get(ctx, path, into)
+}
+
+func (c *cluster) leads(host string) bool {
+	var s admin.Status
+	return c.get(host, "/v1/status", &s) == nil && s.Control != nil && s.Control.Leading
+}
+
+// serving reports whether some host sees the backend server as available.
+func (c *cluster) serving(name string) bool {
+	for _, host := range []string{"h1", "h2", "h3"} {
+		var s admin.Status
+		if c.get(host, "/v1/status", &s) != nil || !s.Session.Valid {
+			continue
+		}
+		for _, b := range s.Backends {
+			if b.Backend == name && !b.Lost {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// send sends one request of service desk and returns its status, verdict and body.
+func (c *cluster) send(host, method, key, id string, timeout time.Duration) (status int, v verdict.Verdict, body string) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.address(host, 7100)+"/desk/x", http.NoBody)
+	if err != nil {
+		return 0, verdict.MayHaveRun, err.Error()
+	}
+	r.Header.Set("X-Key", key)
+	r.Header.Set("Connection", "close")
+	r.Header.Set(wire.HeaderTimeoutMs, strconv.FormatInt(timeout.Milliseconds(), 10))
+	if id != "" {
+		r.Header.Set(wire.HeaderRequestID, id)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, failedVerdict(err), err.Error()
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.StatusCode, verdict.MayHaveRun, err.Error()
+	}
+	v, ok := verdict.Parse(response.Header.Get(verdict.Header))
+	if !ok && response.StatusCode == http.StatusOK {
+		v = verdict.Answered
+	}
+	return response.StatusCode, v, string(raw)
+}
+
+func failedVerdict(err error) verdict.Verdict {
+	if strings.Contains(err.Error(), "connection refused") {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
+
+// cmdRequest sends one request: request HOST METHOD KEY STATUS [VERDICT]
+func cmdRequest(ts *testscript.TestScript, _ bool, args []string) {
+	status, v, body := of(ts).send(args[0], args[1], args[2], "", 2*time.Second)
+	if strconv.Itoa(status) != args[3] || (len(args) > 4 && v.String() != args[4]) {
+		ts.Fatalf("got status %d, verdict %s: %s", status, v, body)
+	}
+}
+
+// cmdAwait waits until a host answers, and demands that another status never
+// comes before: await HOST KEY STATUS [FORBIDDEN-STATUS]
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	c.until(ts, strings.Join(args, " "), func() bool {
+		status, _, _ := c.send(args[0], http.MethodGet, args[1], "", time.Second)
+		if len(args) > 3 && strconv.Itoa(status) == args[3] {
+			ts.Fatalf("%s answered with status %d", args[0], status)
+		}
+		return strconv.Itoa(status) == args[2]
+	})
+}
+
+// cmdServed demands that all keys of the load are served again within a bound
+// of time from now: served HOST BOUND
+func cmdServed(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	bound, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	begin := time.Now()
+	for k := range loadKeys {
+		c.until(ts, "key "+keyName(k), func() bool {
+			status, _, _ := c.send(args[0], http.MethodGet, keyName(k), "", 200*time.Millisecond)
+			return status == http.StatusOK
+		})
+	}
+	took := time.Since(begin)
+	ts.Logf("all keys served again after %d ms", took.Milliseconds())
+	if took > bound {
+		ts.Fatalf("all keys served again after %s, which is over %s", took, bound)
+	}
+}
+
+// loadKeys is the number of keys that a load spreads its requests over.
+const loadKeys = 24
+
+func keyName(k int) string { return fmt.Sprintf("k%d", k) }
+
+// load sends non-idempotent requests, each with an id of its own, and notes
+// what its callers were told.
+type load struct {
+	stop chan struct{}
+	wg   sync.WaitGroup
+
+	mu       sync.Mutex
+	verdicts map[string]verdict.Verdict
+	details  map[string]string // what came instead of an answer, by request id
+}
+
+// cmdLoad starts or stops the load: load start HOST... | load stop
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	if args[0] == "stop" {
+		close(c.load.stop)
+		c.load.wg.Wait()
+		return
+	}
+	c.load = &load{stop: make(chan struct{}), verdicts: map[string]verdict.Verdict{}, details: map[string]string{}}
+	for w := range 2 * len(args[1:]) {
+		c.load.wg.Go(func() { c.load.run(c, args[1+w%len(args[1:])], w) })
+	}
+}
+
+func (l *load) run(c *cluster, host string, worker int) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		id := fmt.Sprintf("w%d-%d", worker, n)
+		_, v, body := c.send(host, http.MethodPost, keyName((worker+n)%loadKeys), id, 500*time.Millisecond)
+		l.mu.Lock()
+		l.verdicts[id] = v
+		if v != verdict.Answered {
+			l.details[id] = body
+		}
+		l.mu.Unlock()
+	}
+}
