Test orders, leases and announcements of the dispatcher

Ruled out: real clocks, because the margins of a lease are 10 ms; the tests drive a fake clock and wait for conditions. Change: tests of confirmation before traffic, release after requests in flight, loss by silence, lapsed leases, read-back, frozen servers, old tables, leaving servers, shutdown and the announcement handler.

--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -158,6 +158,9 @@
 	w.Equal(err.Reason, verdict.ReasonCancelled)
 	<-gone
 	w.Equal(w.b.ran("queued")+w.b.ran("late"), 0)
+	w.b.behave = nil
+	_, err = w.do(context.Background(), w.request("after", http.MethodPost, "x"))
+	w.Equal(err, nil) // the slot is free again
 	w.Equal(w.d.InFlight(), 0)
 }
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -201,15 +201,23 @@
 func (w *world) ready() *world {
 	w.t.Helper()
 	w.True(w.announce().LeaseMs > 0)
-	w.until("confirmed order", func() bool {
-		s := w.server()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.confirmed.known && s.confirmed.epoch == s.rec.Epoch && s.confirmed.lease == s.lease.number
-	})
+	w.until("confirmed order", w.confirmed)
 	return w
 }
 
+func (w *world) confirmed() bool {
+	s := w.server()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed.known && s.confirmed.epoch == s.rec.Epoch && s.confirmed.lease == s.lease.number
+}
+
+// reorder passes time until an order that failed was sent again and confirmed.
+func (w *world) reorder() {
+	w.t.Helper()
+	w.until("repeated order", func() bool { w.pass(2 * time.Millisecond); return w.confirmed() })
+}
+
 func (w *world) server() *server { return w.d.server(serverKey{"desk", "b1"}) }
 
 func (w *world) until(what string, done func() bool) {
--- /dev/null
+++ b/internal/dispatch/order_test.go
@@ -0,0 +1,325 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+	"github.com/matryer/is"
+)
+
+// sweepOver moves the clock in steps that the sweep does not take for a pause.
+func (w *world) sweepOver(d time.Duration) {
+	for ; d > 0; d -= 100 * time.Millisecond {
+		w.pass(min(d, 100*time.Millisecond))
+		now := w.clock.Now()
+		w.until("sweep", func() bool { w.d.mu.Lock(); defer w.d.mu.Unlock(); return w.d.lastSweep.Equal(now) })
+	}
+}
+
+func isLost(c *command.Command) bool { return c.BackendLost != nil && c.BackendLost.Incarnation == "i1" }
+
+// Guards "no traffic before the order is confirmed": requests wait, bounded in
+// number and time, and are refused as not run.
+func TestTrafficWaitsForConfirmation(t *testing.T) {
+	w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) { c.PendingLen = 1 })
+	w.b.mu.Lock()
+	w.b.refuse = func(wire.Order) bool { return true }
+	w.b.mu.Unlock()
+	w.record(func(r *table.Backend) { r.Epoch = 9 })
+	w.True(w.announce().LeaseMs > 0)
+
+	waiting := make(chan *verdict.Error, 1)
+	go func() { _, err := w.do(context.Background(), w.request("waits", http.MethodPost, "x")); waiting <- err }()
+	w.until("pending", func() bool { s := w.server(); s.mu.Lock(); defer s.mu.Unlock(); return s.pending == 1 })
+	_, err := w.do(context.Background(), w.request("excess", http.MethodPost, "x"))
+	w.Equal(err.Reason, verdict.ReasonNotConfirmed)
+	w.Equal(err.Verdict, verdict.NotRun)
+
+	w.b.mu.Lock()
+	w.b.refuse = nil
+	w.b.mu.Unlock()
+	w.reorder()
+	w.Equal(<-waiting, nil)
+	w.Equal(w.b.ran("waits"), 1)
+	w.Equal(w.b.ran("excess"), 0)
+}
+
+// Guards single ownership: a slice that is moved away is released only after its
+// requests ended and an order without it was confirmed; until then it stays in
+// the order but gets no new request.
+func TestReleaseWaitsForRequestsInFlight(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	entered, finish := make(chan struct{}), make(chan struct{})
+	w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-finish }
+	flight := make(chan *verdict.Error, 1)
+	go func() { _, err := w.do(context.Background(), w.request("flight", http.MethodPost, "x")); flight <- err }()
+	<-entered
+	w.releaseSlice(0)
+	_, err := w.do(context.Background(), w.request("new", http.MethodPost, "x"))
+	w.Equal(err.Reason, verdict.ReasonMoved)
+
+	w.record(func(r *table.Backend) { r.Epoch = 9 }) // forces an order while the request is in flight
+	w.until("order of epoch 9", func() bool { o, _ := w.b.lastOrder(); return o.Epoch == 9 })
+	o, _ := w.b.lastOrder()
+	w.Equal(len(o.Slices), 2)
+	w.True(!w.proposed(func(c *command.Command) bool { return c.Released != nil }))
+
+	close(finish)
+	w.Equal(<-flight, nil)
+	w.until("released", func() bool { return w.proposed(func(c *command.Command) bool { return c.Released != nil }) })
+	o, _ = w.b.lastOrder()
+	w.Equal(o.Slices, []wire.Range{{First: "8000000000000000", Last: "ffffffffffffffff"}})
+	w.Equal(o.Epoch, uint64(9)) // a smaller set of the same epoch
+	w.Equal(w.props[0].Released, &command.Released{Service: "desk", Backend: "b1", Starts: []uint64{0}, Epochs: []uint64{5}})
+	w.pass(retryGap)
+	w.until("proposal repeated", func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.props) > 1 })
+	w.Equal(w.b.ran("new"), 0)
+}
+
+// Guards the loss of a backend server: it is proposed only when the lease with
+// its margin is surely over, and not because this host itself was deaf.
+func TestSilenceIsProposedAsLoss(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	w.sweepOver(500 * time.Millisecond)
+	w.announce()
+	w.sweepOver(1010 * time.Millisecond)
+	w.True(!w.proposed(isLost)) // exactly at the end of lease and margin
+	w.sweepOver(100 * time.Millisecond)
+	w.until("loss", func() bool { return w.proposed(isLost) })
+
+	for name, deaf := range map[string]func(w *world){
+		"session": func(w *world) { w.validFor(0); w.sweepOver(2 * time.Second); w.validFor(time.Hour) },
+		"pause":   func(w *world) { w.pass(time.Minute); w.sweepOver(100 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, nil).ready()
+			deaf(w)
+			w.sweepOver(800 * time.Millisecond)
+			w.True(!w.proposed(isLost))
+			w.sweepOver(400 * time.Millisecond)
+			w.until("loss", func() bool { return w.proposed(isLost) })
+		})
+	}
+}
+
+// Guards the lease number: it stays while renewals are on time and is raised by a
+// lapse on either clock; the server then gets a new order and starts cold.
+func TestLapsedLeaseRaisesNumber(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		local, onServer time.Duration
+		raised          bool
+	}{
+		{"on time", 900 * time.Millisecond, 900 * time.Millisecond, false},
+		{"lapsed", 1100 * time.Millisecond, 1100 * time.Millisecond, true},
+		{"lapsed on a fast local clock", 995 * time.Millisecond, 900 * time.Millisecond, true},
+		{"lapsed on the server's clock", 900 * time.Millisecond, 1000 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, nil).ready()
+			before, orders := w.announce().Lease, func() int { _, n := w.b.lastOrder(); return n }
+			first := orders()
+			w.clock.Advance(c.local)
+			w.clockMs += c.onServer.Milliseconds()
+			w.ready()
+			after := w.announce()
+			w.Equal(after.Lease > before, c.raised)
+			w.Equal(orders() > first, c.raised)
+			_, err := w.do(context.Background(), w.request("r", http.MethodPost, "x"))
+			w.Equal(err, nil)
+			w.Equal(headerInt(w.b.last, wire.HeaderLease), int64(after.Lease))
+			w.True(headerInt(w.b.last, wire.HeaderStartBy) <= w.clockMs+after.LeaseMs)
+		})
+	}
+}
+
+// Guards the lease chain: no backend lease outlives the session, and an
+// announcement that was overtaken renews nothing.
+func TestLeaseIsBoundedBySessionAndOrder(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	w.validFor(500 * time.Millisecond)
+	w.Equal(w.announce().LeaseMs, int64(495)) // 500 ms less 1% drift
+	w.clockMs -= 10
+	w.Equal(w.announce().LeaseMs, int64(0))
+	w.clockMs += 20
+	w.validFor(0)
+	w.Equal(w.announce().LeaseMs, int64(0))
+}
+
+// Guards the takeover of a server that does not check orders: what it holds is
+// read back and corrected before any traffic, and a newer order is not undone.
+func TestNonCheckingServerIsReadBack(t *testing.T) {
+	w := newWorld(t, func(_ *Config, b *table.Backend, _ *service.File) { b.ChecksOrders = false })
+	w.ready()
+	w.b.mu.Lock()
+	reads := w.b.reads
+	w.b.held = wire.OrderReply{Accepted: true, Incarnation: "i1", Epoch: 99, Slices: []wire.Range{}}
+	w.b.mu.Unlock()
+	w.True(reads >= 1)
+	_, orders := w.b.lastOrder()
+	w.record(func(r *table.Backend) { r.Dispatcher, r.Epoch = "h2", 20 })
+	w.record(func(r *table.Backend) { r.Dispatcher, r.Epoch = "h1", 30 })
+	w.announce()
+	w.until("read back", func() bool { w.b.mu.Lock(); defer w.b.mu.Unlock(); return w.b.reads > reads })
+	r := w.request("r", http.MethodPost, "x")
+	r.Deadline = w.clock.Now().Add(50 * time.Millisecond)
+	_, err := w.do(context.Background(), r)
+	w.Equal(err.Verdict, verdict.NotRun)
+	_, after := w.b.lastOrder()
+	w.Equal(after, orders) // no order with epoch 30 while the server holds 99
+	w.record(func(r *table.Backend) { r.Epoch = 100 })
+	w.reorder()
+	w.ready()
+	o, _ := w.b.lastOrder()
+	w.Equal(len(o.Slices), 2) // corrected
+}
+
+// Guards a frozen server: its order times out, requests are refused as not run,
+// and it is served again after it resumes.
+func TestFrozenServerGetsNoTraffic(t *testing.T) {
+	w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) { c.OrderTimeout = 20 * time.Millisecond })
+	w.ready()
+	w.b.mu.Lock() // orders and requests block
+	w.record(func(r *table.Backend) { r.Epoch = 9 })
+	r := w.request("r", http.MethodPost, "x")
+	r.Deadline = w.clock.Now().Add(60 * time.Millisecond)
+	_, err := w.do(context.Background(), r)
+	w.b.mu.Unlock()
+	w.Equal(err.Verdict, verdict.NotRun)
+	w.reorder()
+	w.ready()
+	_, err = w.do(context.Background(), w.request("r2", http.MethodPost, "x"))
+	w.Equal(err, nil)
+	w.Equal(w.b.ran("r"), 0)
+}
+
+// Guards old tables and lost roles: a request for another owner, epoch or
+// dispatcher is refused as moved.
+func TestOldTableIsRefusedAsMoved(t *testing.T) {
+	for name, change := range map[string]func(w *world){
+		"owner":      func(w *world) { w.moveSlice(0, "b2", 8) },
+		"epoch":      func(w *world) { w.moveSlice(0, "b1", 8) },
+		"dispatcher": func(w *world) { w.record(func(r *table.Backend) { r.Dispatcher = "h2" }) },
+		"lost":       func(w *world) { w.record(func(r *table.Backend) { r.Lost = true }) },
+		"split": func(w *world) {
+			w.change(func(b *table.Builder) {
+				b.PutSlice("desk", table.Slice{Start: 1, Owner: "b2", Epoch: 8, State: table.SliceOwned})
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, nil).ready()
+			change(w)
+			_, err := w.do(context.Background(), w.request("r", http.MethodPost, "x"))
+			w.Equal(err.Verdict, verdict.NotRun)
+			w.Equal(err.Reason, verdict.ReasonMoved)
+			w.Equal(w.b.ran("r"), 0)
+		})
+	}
+}
+
+// Guards a planned stop of a backend server: no new request, requests in flight
+// end, the server confirms an empty order, and only then it is given up.
+func TestLeavingServerIsEmptied(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	entered, finish := make(chan struct{}), make(chan struct{})
+	w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-finish }
+	flight := make(chan *verdict.Error, 1)
+	go func() { _, err := w.do(context.Background(), w.request("flight", http.MethodPost, "x")); flight <- err }()
+	<-entered
+	a := wire.Announcement{Backend: "b1", Service: "desk", Incarnation: "i1", ClockMs: w.clockMs, Leaving: true}
+	w.d.Announce(context.Background(), a)
+	_, err := w.do(context.Background(), w.request("new", http.MethodPost, "x"))
+	w.Equal(err.Verdict, verdict.NotRun)
+	w.True(!w.proposed(isLost))
+	close(finish)
+	w.Equal(<-flight, nil)
+	w.until("loss", func() bool { return w.proposed(isLost) })
+	o, _ := w.b.lastOrder()
+	w.Equal(len(o.Slices), 0)
+}
+
+// Guards the stop of the dispatcher: it refuses new requests as not run, waits
+// for those in flight and renews their lease meanwhile.
+func TestShutdownWaitsForFlight(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	entered, finish := make(chan struct{}), make(chan struct{})
+	w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-finish }
+	flight := make(chan *verdict.Error, 1)
+	go func() { _, err := w.do(context.Background(), w.request("flight", http.MethodPost, "x")); flight <- err }()
+	<-entered
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	w.Equal(w.d.Shutdown(ctx), context.Canceled) // does not end before the request
+	_, err := w.do(context.Background(), w.request("new", http.MethodPost, "x"))
+	w.Equal(err.Reason, verdict.ReasonShutdown)
+	w.True(w.announce().LeaseMs > 0)
+	close(finish)
+	w.Equal(w.d.Shutdown(context.Background()), nil)
+	w.Equal(<-flight, nil)
+	loads := w.d.Loads()
+	w.Equal(loads[0].Slices, []wire.SliceCount{{Start: 0, Count: 1}})
+	w.Equal(loads[0].Keys, []wire.KeyCount{{Hash: 1, Count: 1}})
+	w.Equal(len(w.d.Loads()), 0) // counted once
+}
+
+// Guards announcements: bad ones get a clear 400, unknown servers and new
+// incarnations are proposed once, the others reach their dispatcher.
+func TestAnnounceHandler(t *testing.T) {
+	good := `{"backend":"%s","service":"desk","incarnation":"%s","data_centre":"a","address":"%s","slots":2,"connections":9,"checks_orders":true,"clock_ms":1,"epoch":0}`
+	relayed := 0
+	w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) {
+		c.RelayAnnounce = func(context.Context, string, wire.Announcement) (wire.AnnounceReply, error) {
+			relayed++
+			return wire.AnnounceReply{LeaseMs: 77}, nil
+		}
+	})
+	post := func(body string) (int, string) {
+		rec := httptest.NewRecorder()
+		w.d.AnnounceHandler().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, wire.AnnouncePath, strings.NewReader(body)))
+		return rec.Code, rec.Body.String()
+	}
+	for _, c := range []struct{ body, want string }{
+		{"{", "not valid JSON"},
+		{`{"backnd":"x"}`, "backnd"},
+		{fmt.Sprintf(good, "b1", "i1", "x") + "{}", "other data"},
+		{fmt.Sprintf(good, "b/1", "i1", "127.0.0.1:80"), `"backend"`},
+		{fmt.Sprintf(good, "b1", "", "127.0.0.1:80"), `"incarnation"`},
+		{fmt.Sprintf(good, "b1", "i1", "localhost:80"), `"address"`},
+		{strings.Replace(fmt.Sprintf(good, "b1", "i1", "127.0.0.1:80"), `"slots":2`, `"slots":0`, 1), `"slots"`},
+	} {
+		is := is.New(t)
+		code, body := post(c.body)
+		is.Equal(code, 400)
+		is.True(strings.Contains(body, c.want))
+	}
+	announced := func(name, incarnation string) bool {
+		return w.proposed(func(c *command.Command) bool {
+			a := c.BackendAnnounced
+			return a != nil && a.Backend == name && a.Incarnation == incarnation
+		})
+	}
+	code, _ := post(fmt.Sprintf(good, "b2", "i1", "127.0.0.1:80"))
+	w.Equal(code, 200)
+	w.True(announced("b2", "i1"))
+	post(fmt.Sprintf(good, "b1", "i2", "127.0.0.1:80"))
+	w.True(!announced("b1", "i2")) // the lease of i1 at another address may hold
+	post(fmt.Sprintf(good, "b1", "i2", w.b.address()))
+	w.True(announced("b1", "i2"))
+	w.record(func(r *table.Backend) { r.Lost = true })
+	post(fmt.Sprintf(good, "b1", "i1", w.b.address()))
+	w.True(announced("b1", "i1"))
+	w.record(func(r *table.Backend) { r.Lost, r.Dispatcher = false, "h2" })
+	_, body := post(fmt.Sprintf(good, "b1", "i1", w.b.address()))
+	w.True(strings.Contains(body, `"lease_ms":77`) && relayed == 1)
+}
