Keep answering while the load balancer notices a planned stop

Cause: connections that arrived while a stopping host closed its listeners were closed without an answer; planned_stop failed with EOF. Ruled out: requests in flight being cut, because all that had been accepted were answered. Conclusion: a stop now leaves the load balancer time to leave the host.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -102,6 +102,8 @@
 	d.events.Record("stopping", d.settings.Host, "")
 	ctx, cancel := context.WithTimeout(hard, d.settings.Shutdown.Timeout)
 	defer cancel()
+	left, cancelDelay := context.WithTimeout(hard, d.settings.Shutdown.Delay)
+	defer cancelDelay()
 	d.entry.StartShutdown()
 	d.handLeadershipOn(ctx)
 	d.finishCallers(ctx)
@@ -112,6 +114,7 @@
 	if drained := d.dispatcher.Shutdown(ctx); err == nil {
 		err = errors.Annotate(drained, "requests of other hosts")
 	}
+	<-left.Done() // connections that arrive until here are answered
 	d.stopServers(ctx)
 	if d.replica != nil {
 		d.replica.stop()
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -146,6 +146,23 @@
 	c.until(ts, "backend server "+args[0], func() bool { return c.serving(args[0]) })
 }
 
+// cmdBalanced waits until the slices are spread over the backend servers.
+func cmdBalanced(ts *testscript.TestScript, _ bool, _ []string) {
+	c := of(ts)
+	c.until(ts, "balanced backend servers", func() bool {
+		var s admin.Status
+		if c.get("h1", "/v1/status", &s) != nil || len(s.Backends) == 0 {
+			return false
+		}
+		for _, b := range s.Backends {
+			if !b.Lost && b.Slices*len(s.Backends)*2 < s.Services[0].Slices {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // cmdSignal signals a process: signal kill|term|stop|cont NAME
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	c := of(ts)
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -38,6 +38,7 @@
 			"load":          cmdLoad,
 			"judge":         cmdJudge,
 			"control-host":  cmdControlHost,
+			"balanced":      cmdBalanced,
 			"wipe":          cmdWipe,
 			"replace":       cmdReplace,
 			"idle":          cmdIdle,
--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -155,6 +155,8 @@
 	}
 }
 
+// run sends requests to one host, and leaves it for h1 when it says that it is
+// stopping, as a load balancer does.
 func (l *load) run(c *cluster, host string, worker int) {
 	for n := 0; ; n++ {
 		select {
@@ -169,6 +171,9 @@
 		if v != verdict.Answered {
 			l.details[id] = body
 		}
+		if strings.Contains(body, string(verdict.ReasonShutdown)) {
+			host = "h1"
+		}
 		l.mu.Unlock()
 	}
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -88,7 +88,7 @@
 		Limits: Limits{
 			HeaderBytes: 64 << 10, BodyBytes: 1 << 30, Connections: 10_000, InFlight: 5_000, QueuePerBackend: 64,
 		},
-		Shutdown: Shutdown{Timeout: 30 * time.Second},
+		Shutdown: Shutdown{Delay: 2 * time.Second, Timeout: 30 * time.Second},
 		Log:      Log{Level: "info", Format: "json"},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,6 +134,10 @@
 
 // Shutdown bounds a planned stop.
 type Shutdown struct {
+	// Delay is the least time between the failing health check and the closing
+	// of the listeners. During it new requests are refused as not run, and the
+	// load balancer notices that this host is leaving. 0s to 1m, default 2s.
+	Delay time.Duration `yaml:"delay"`
 	// Timeout ends a stop that waits for requests in flight. 1s to 1h, default 30s.
 	Timeout time.Duration `yaml:"timeout"`
 }
