Test and measure groups of replicas on disk

Cause: the test of whole nodes used a store in memory, and commit latency was not measured.

Ruled out: a separate benchmark in internal/logstore, which would repeat the set-up of a group.

Change: the node test runs on internal/logstore, and BenchmarkCommit uses the same group of three replicas on disk, with messages encoded and decoded between them.

--- /dev/null
+++ b/internal/replication/group_test.go
@@ -0,0 +1,158 @@
+package replication_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/logstore"
+	"github.com/agatestep/agatestep/internal/replication"
+)
+
+// group runs replicas on disk in one process and carries their messages in
+// encoded form.
+type group struct {
+	is      *is.I
+	stores  []*logstore.Store
+	members []replication.Member
+	nodes   sync.Map // of *replication.Node by id
+	states  []*state
+}
+
+// state is a state machine that keeps every command.
+type state []string
+
+func (s *state) Apply(_ uint64, command []byte) []byte { *s = append(*s, string(command)); return nil }
+
+func (s *state) Snapshot() ([]byte, error) { return replication.Marshal(*s) }
+
+func (s *state) Restore(_ uint64, data []byte) error { return replication.Unmarshal(data, s) }
+
+func newGroup(tb testing.TB, size int) *group {
+	g := &group{is: is.New(tb)}
+	for i := range size {
+		s, err := logstore.Open(tb.TempDir(), logstore.Options{Group: "g", Host: fmt.Sprint("h", i)})
+		g.is.NoErr(err)
+		g.stores = append(g.stores, s)
+		g.members = append(g.members, replication.Member{ID: s.Identity().ID(), Voter: true})
+	}
+	for _, s := range g.stores {
+		g.is.NoErr(replication.Bootstrap(s, "g", g.members))
+	}
+	return g
+}
+
+func (g *group) Send(m replication.Message) {
+	data, err := m.Encode()
+	decoded, err2 := replication.Decode(data)
+	if err = errors.Join(err, err2); err != nil {
+		panic(err)
+	}
+	if n, ok := g.nodes.Load(m.To); ok {
+		n.(*replication.Node).Receive(decoded)
+	}
+}
+
+func (g *group) start(tick time.Duration, every uint64) {
+	g.states = nil
+	for i, s := range g.stores {
+		g.states = append(g.states, &state{})
+		n, err := replication.Start(replication.Config{GroupID: "g", Tick: tick, Seed: uint64(i), Storage: s, Transport: g, StateMachine: g.states[i], SnapshotEvery: every})
+		g.is.NoErr(err)
+		g.nodes.Store(g.members[i].ID, n)
+	}
+}
+
+func (g *group) node(i int) *replication.Node {
+	n, _ := g.nodes.Load(g.members[i].ID)
+	return n.(*replication.Node)
+}
+
+// retry calls f with the nodes in turn until it succeeds, for at most 20 s.
+func (g *group) retry(f func(*replication.Node) error) {
+	err := errors.New("not tried")
+	for deadline := time.Now().Add(20 * time.Second); err != nil && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		for i := 0; i < len(g.members) && err != nil; i++ {
+			err = f(g.node(i))
+		}
+	}
+	g.is.NoErr(err)
+}
+
+// Guards against a group that does not elect, commit, transfer leadership, read
+// or restart with its state, for one replica and for three.
+func TestGroupElectsProposesAndRestarts(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		g, ctx, last := newGroup(t, size), context.Background(), uint64(0)
+		g.is.Equal(replication.Bootstrap(g.stores[0], "g", g.members), replication.ErrNotEmpty)
+		for round := range 2 {
+			g.start(5*time.Millisecond, 15)
+			for range 20 {
+				g.retry(func(n *replication.Node) error {
+					index, _, err := n.Propose(ctx, []byte("c"))
+					last = max(last, index)
+					return err
+				})
+			}
+			g.retry(func(n *replication.Node) error { return n.TransferLeadership(ctx, g.members[round%size].ID) })
+			g.retry(func(n *replication.Node) error {
+				index, err := n.ReadIndex(ctx)
+				g.is.True(err != nil || index >= last)
+				return err
+			})
+			for i := range g.stores {
+				n := g.node(i)
+				g.retry(func(*replication.Node) error {
+					if a := n.Status().Applied; a < last {
+						return fmt.Errorf("applied %d of %d", a, last)
+					}
+					return nil
+				})
+				n.Stop()
+				_, _, err := n.Propose(ctx, nil)
+				g.is.True(errors.Is(err, replication.ErrStopped))
+				g.is.True(len(*g.states[i]) >= 20*(round+1) && slices.Equal(*g.states[i], *g.states[0]))
+			}
+		}
+	}
+}
+
+// BenchmarkCommit measures the latency of a commit of 200 bytes and the log
+// bytes per change, with three replicas on disk and some concurrent callers.
+func BenchmarkCommit(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprint("callers", callers), func(b *testing.B) {
+			g, ctx := newGroup(b, 3), context.Background()
+			g.start(0, 1<<40)
+			var leader *replication.Node
+			g.retry(func(n *replication.Node) error { leader = n; _, err := n.ReadIndex(ctx); return err })
+			var next atomic.Int64
+			var wg sync.WaitGroup
+			before := g.stores[0].BytesWritten()
+			b.ResetTimer()
+			for range callers {
+				wg.Go(func() {
+					for next.Add(1) <= int64(b.N) {
+						if _, _, err := leader.Propose(ctx, make([]byte, 200)); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			b.StopTimer()
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())*float64(callers)/float64(b.N), "ns/commit")
+			b.ReportMetric(float64(g.stores[0].BytesWritten()-before)/float64(b.N), "log-B/change")
+			for i := range g.stores {
+				g.node(i).Stop()
+			}
+		})
+	}
+}
