Make the loss of a backend server cheap and keep it apart from balancing

Cause: the commit of a loss took about 10 ms with 23,000 slices per service, because it repaired all standbys; the loss of a data centre with 800 servers would have taken 8 s, above the target of 3 s. The balance decision, 0.4 s for 460,000 slices, ran in the same loop as the losses of hosts.

Ruled out: an assignment over the affected slices alone; it does not see the load that the other slices place on each server.

Change: BackendLost only promotes standbys; the leader proposes the new command Repair, which fills in standbys, in its balance loop within a second. When a standby is missing too, the loss repairs at once. Announcements reassign only when a slice is not complete. Sorted references to backend servers are kept between commands. Leader.Run has two loops, Tick and Balance.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -21,6 +21,12 @@
 	Publish          *Publish          `msgpack:",omitempty"`
 	Drain            *Drain            `msgpack:",omitempty"`
 	LeaderElected    *LeaderElected    `msgpack:",omitempty"`
+	Repair           *Repair           `msgpack:",omitempty"`
+}
+
+// Repair gives slices of a service the standbys and owners that they lack.
+type Repair struct {
+	Service string
 }
 
 // LeaderElected is the first command of a new leader. It makes sure that the
@@ -215,7 +221,7 @@
 	for _, set := range []bool{
 		c.HostJoined != nil, c.HostLost != nil, c.BackendAnnounced != nil, c.BackendLost != nil,
 		c.Released != nil, c.Move != nil, c.Split != nil, c.Publish != nil, c.Drain != nil,
-		c.LeaderElected != nil,
+		c.LeaderElected != nil, c.Repair != nil,
 	} {
 		if set {
 			n++
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -49,20 +49,18 @@
 			g.must(b, command.Command{Move: m})
 			g.must(b, command.Command{Released: r})
 		})
-		run("lost+announced", func(i int) {
-			g.must(b, command.Command{BackendLost: &command.BackendLost{Service: "s0", Backend: "b2", Incarnation: "i1"}})
-			c := announced("s0", 2)
-			c.BackendAnnounced.Address, c.BackendAnnounced.DataCentre = "10.0.0.2:80", "dc2"
-			g.must(b, c)
+		run("lost", func(i int) {
+			g.must(b, command.Command{BackendLost: &command.BackendLost{Service: "s0", Backend: fmt.Sprint("b", 2+i%300), Incarnation: "i1"}})
 		})
 		run("balance", func(i int) {
-			g.clock.Advance(time.Second)
+			g.clock.Advance(2 * time.Second)
 			g.renew(0, func(r *wire.SessionRenew) {
 				r.Loads = []wire.SliceLoads{{Service: "s0", Slices: []wire.SliceCount{{Count: 100}}}}
 			})
-			v, _ := g.view()
-			v.Balance = true
-			Decide(v)
+			t, loads, _ := g.balanceView()
+			for _, s := range t.Services() {
+				DecideBalance(t, s.File.Service, loads[s.File.Service], DefaultMaxMoving)
+			}
 		})
 		run("snapshot+restore", func(i int) {
 			snap, err := g.state.Snapshot()
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/ownership"
 	"github.com/agatestep/agatestep/internal/placement"
 	"github.com/agatestep/agatestep/internal/table"
 )
@@ -16,7 +17,7 @@
 	Keys   map[uint64]float64 // by hash
 }
 
-// View is all that a decision of the leader depends on.
+// View is all that the decision about sessions depends on.
 type View struct {
 	Table *table.Table
 	Term  uint64
@@ -24,38 +25,32 @@
 	GraceOver bool
 	// Live are the hosts that have a session or are opening one.
 	Live map[string]bool
-	// Balance is set when splits and moves are due; Loads are by service.
-	Balance   bool
-	Loads     map[string]Loads
-	MaxMoving int
 }
 
-// Decide returns the commands that are due. It is a pure function. Dispatchers
-// are reassigned and moves of lost owners are completed by the commit of the
-// loss itself, so there is nothing to decide about them afterwards.
+// Decide returns the commands that are due about hosts whose sessions are over. It
+// is a pure function. Dispatchers are reassigned and moves of lost owners are
+// completed by the commit of the loss itself.
 func Decide(v View) []command.Command {
-	var out []command.Command
-	if v.GraceOver {
-		for _, h := range v.Table.Hosts() {
-			if !v.Live[h.Name] {
-				out = append(out, command.Command{HostLost: &command.HostLost{Host: h.Name, Joined: h.Joined, Term: v.Term}})
-			}
-		}
-	}
-	if !v.Balance {
-		return out
+	if !v.GraceOver {
+		return nil
 	}
-	for _, s := range v.Table.Services() {
-		if s.File.Keyed() {
-			out = append(out, balance(v.Table, s.File.Service, v.Loads[s.File.Service], v.MaxMoving)...)
+	var out []command.Command
+	for _, h := range v.Table.Hosts() {
+		if !v.Live[h.Name] {
+			out = append(out, command.Command{HostLost: &command.HostLost{Host: h.Name, Joined: h.Joined, Term: v.Term}})
 		}
 	}
 	return out
 }
 
-// balance decides on splits of hot keys, or else on moves, of one service.
-func balance(t *table.Table, service string, loads Loads, maxMoving int) []command.Command {
+// DecideBalance returns the commands that are due to repair standbys, split hot
+// keys and even out the load of one service: one kind at a time, in this order.
+// It is a pure function. It begins no move while maxMoving slices are moving.
+func DecideBalance(t *table.Table, service string, loads Loads, maxMoving int) []command.Command {
 	servers, list, moving := placementView(t, service, loads)
+	if incomplete(t, service, servers) {
+		return []command.Command{{Repair: &command.Repair{Service: service}}}
+	}
 	if len(servers) < 2 {
 		return nil
 	}
@@ -65,14 +60,15 @@
 	if moving >= maxMoving {
 		return nil
 	}
-	moves := placement.Rebalance(servers, list, placement.Options{Floor: attractFloor, MaxMoves: maxMoving - moving})
+	to := map[int]string{}
+	for _, m := range placement.Rebalance(servers, list, placement.Options{Floor: attractFloor, MaxMoves: maxMoving - moving}) {
+		to[m.Index] = m.To
+	}
 	cmd := &command.Move{Service: service}
 	i := 0
 	for s := range t.AllSlices(service) {
-		for _, m := range moves {
-			if m.Index == i && s.State == table.SliceOwned && m.To != s.Owner {
-				cmd.Moves = append(cmd.Moves, command.SliceMove{Start: s.Start, Epoch: s.Epoch, To: m.To})
-			}
+		if next, ok := to[i]; ok && s.State == table.SliceOwned && next != s.Owner {
+			cmd.Moves = append(cmd.Moves, command.SliceMove{Start: s.Start, Epoch: s.Epoch, To: next})
 		}
 		i++
 	}
@@ -82,6 +78,16 @@
 	return []command.Command{{Move: cmd}}
 }
 
+func incomplete(t *table.Table, service string, servers []placement.Server) bool {
+	c := ownership.NewCoverage(servers)
+	for s := range t.AllSlices(service) {
+		if !c.Complete(&s) {
+			return true
+		}
+	}
+	return false
+}
+
 // placementView returns the servers and slices of a service as placement sees
 // them. A slice on the move counts for its next owner.
 func placementView(t *table.Table, service string, loads Loads) (servers []placement.Server, list []placement.Slice, moving int) {
--- a/internal/control/decide_test.go
+++ b/internal/control/decide_test.go
@@ -26,6 +26,7 @@
 			})
 		}
 		g.Tick(ctx)
+		g.Balance(ctx)
 		moving := 0
 		for _, s := range slicesOf(g.state.Table(), "desk") {
 			if s.State == table.SliceReleasing {
@@ -130,5 +131,5 @@
 	revision := g.state.Table().Revision()
 	g.settle(t, 20*time.Second, g.even(hot...))
 	is.Equal(g.state.Table().Revision(), revision)
-	is.Equal(fmt.Sprint(g.Tick(ctx)), "[]")
+	is.Equal(len(g.Balance(ctx)), 0)
 }
--- a/internal/control/invariant_test.go
+++ b/internal/control/invariant_test.go
@@ -19,7 +19,7 @@
 	host, server := rapid.IntRange(1, 4).Draw(t, "host"), rapid.IntRange(1, 5).Draw(t, "server")
 	name, list := fmt.Sprint("b", server), slicesOf(cur, "desk")
 	pick := func() table.Slice { return list[rapid.IntRange(0, len(list)-1).Draw(t, "slice")] }
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		h := hostJoined(host)
 		return command.Command{HostJoined: &h}
@@ -51,6 +51,8 @@
 	case 8:
 		return command.Command{Split: &command.Split{Service: "desk", Hashes: []uint64{
 			pick().Start, pick().Last, rapid.Uint64().Draw(t, "hash"), math.MaxUint64}}}
+	case 9:
+		return command.Command{Repair: &command.Repair{Service: "desk"}}
 	default:
 		d := &command.Drain{RequestID: fmt.Sprint("d", step), Kind: command.DrainBackend, Name: "desk/" + name, Out: rapid.Bool().Draw(t, "out")}
 		if rapid.Bool().Draw(t, "whole") {
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -8,13 +8,23 @@
 	"time"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
 )
 
 // maxConcurrent bounds the proposals of one tick that are on their way together.
 const maxConcurrent = 64
 
-// Run does the periodic duties until ctx ends.
+// Run does the periodic duties until ctx ends. Decisions about load have a loop of
+// their own: they take 0.4 s for 460,000 slices and must not delay losses.
 func (l *Leader) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, duty := range []func(context.Context) []command.Command{l.Tick, l.Balance} {
+		wg.Go(func() { l.every(ctx, duty) })
+	}
+}
+
+func (l *Leader) every(ctx context.Context, duty func(context.Context) []command.Command) {
 	ticker := time.NewTicker(l.cfg.Tick)
 	defer ticker.Stop()
 	for {
@@ -22,14 +32,14 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			l.Tick(ctx)
+			duty(ctx)
 		}
 	}
 }
 
-// Tick takes the decisions that are due, carries them out and returns the
-// commands that it proposed. A command whose outcome is not known is decided
-// again by the next tick if it is still due.
+// Tick commits the loss of hosts whose sessions are over and returns the commands
+// that it proposed. A command whose outcome is not known is decided again by the
+// next tick if it is still due.
 func (l *Leader) Tick(ctx context.Context) []command.Command {
 	ctx, cancel := context.WithTimeout(ctx, DefaultProposalDeadline)
 	defer cancel()
@@ -41,6 +51,36 @@
 		return nil
 	}
 	due := Decide(v)
+	l.carryOut(ctx, due)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notify()
+	return due
+}
+
+// Balance repairs standbys, splits hot keys and moves slices, when a decision is
+// due, and returns the commands that it proposed.
+func (l *Leader) Balance(ctx context.Context) []command.Command {
+	ctx, cancel := context.WithTimeout(ctx, DefaultProposalDeadline)
+	defer cancel()
+	if err := l.establish(ctx); err != nil {
+		return nil
+	}
+	t, loads, ok := l.balanceView()
+	if !ok {
+		return nil
+	}
+	var due []command.Command
+	for _, s := range t.Services() {
+		if s.File.Keyed() {
+			due = append(due, DecideBalance(t, s.File.Service, loads[s.File.Service], l.cfg.MaxMoving)...)
+		}
+	}
+	l.carryOut(ctx, due)
+	return due
+}
+
+func (l *Leader) carryOut(ctx context.Context, due []command.Command) {
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrent)
 	for _, c := range due {
@@ -54,14 +94,10 @@
 		})
 	}
 	wg.Wait()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.notify()
-	return due
 }
 
-// view collects what Decide needs, if this process leads. The table is read
-// before the sessions, so that a host in it that is joining is seen as such.
+// view collects what Decide needs, if this process leads. Table and sessions are
+// read under the lock, so that a host in the table that is joining is seen as such.
 func (l *Leader) view() (View, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,13 +105,7 @@
 	if !ok {
 		return View{}, false
 	}
-	v := View{
-		Table:     l.cfg.State.Table(),
-		Term:      r.term,
-		GraceOver: !r.inGrace(),
-		Live:      map[string]bool{},
-		MaxMoving: l.cfg.MaxMoving,
-	}
+	v := View{Table: l.cfg.State.Table(), Term: r.term, GraceOver: !r.inGrace(), Live: map[string]bool{}}
 	for host, s := range l.sessions {
 		v.Live[host] = s.live(r.now)
 	}
@@ -83,18 +113,27 @@
 		v.Live[host] = true
 	}
 	l.dropClosed(v, r)
-	if l.again || r.now.Sub(l.balanced) >= l.cfg.BalanceInterval {
-		l.again = false
-		l.balanced = r.now
-		l.loads.fold(r.now)
-		v.Balance, v.Loads = !r.inGrace(), map[string]Loads{}
-		for name := range l.loads.services {
-			v.Loads[name] = l.loads.view(name)
-		}
-	}
 	return v, true
 }
 
+// balanceView returns what DecideBalance needs, if a decision is due.
+func (l *Leader) balanceView() (*table.Table, map[string]Loads, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, _, ok := l.lead()
+	due := l.again || r.now.Sub(l.balanced) >= l.cfg.BalanceInterval
+	if !ok || !due || r.inGrace() {
+		return nil, nil, false
+	}
+	l.balanced, l.again = r.now, false
+	l.loads.fold(r.now)
+	out := map[string]Loads{}
+	for name := range l.loads.services {
+		out[name] = l.loads.view(name)
+	}
+	return l.cfg.State.Table(), out, true
+}
+
 // carriedOut takes note of a committed split or move.
 func (l *Leader) carriedOut(c *command.Command) {
 	l.mu.Lock()
--- a/internal/control/session_test.go
+++ b/internal/control/session_test.go
@@ -159,14 +159,7 @@
 		is.True(g.renew(i).Granted)
 	}
 	g.populate(t, 64, 3)
-	for i := 0; i < 30; i++ {
-		g.clock.Advance(100 * time.Millisecond)
-		for i := range 3 {
-			g.renew(i)
-		}
-		g.Tick(ctx)
-		g.releaseAll(t)
-	}
+	g.settle(t, 3*time.Second, nil)
 	victim := g.state.Table().Backend("desk", "b1")
 	held := g.state.Table().SlicesOf("desk", "b1")
 	is.True(len(held) > 0)
@@ -188,6 +181,10 @@
 		is.Equal(now.Owner, s.Standby) // in one step
 		is.Equal(now.Epoch, index)
 	}
+	g.settle(t, 2*time.Second, nil)
+	for _, s := range slicesOf(g.state.Table(), "desk") {
+		is.True(s.Standby != "" && s.Standby != "b1" && s.Standby != s.Owner) // ready for a second loss
+	}
 }
 
 // releaseAll confirms all moves, as dispatchers do.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -170,7 +170,9 @@
 		if err := s.fleet.LoseBackend(table.BackendRef{Service: l.Service, Name: l.Backend}, l.Incarnation, index); err != nil {
 			return "", err
 		}
-		s.reassign(l.Service, index)
+		if o := s.slices[l.Service]; o != nil {
+			o.Promote(s.fleet, index)
+		}
 		return "", nil
 	default:
 		return s.executeSlices(index, c)
@@ -194,6 +196,13 @@
 		}
 		n, err := o.Release(c.Released, index)
 		return countDetail(n, len(c.Released.Starts)), err
+	case c.Repair != nil:
+		o, err := s.keyed(c.Repair.Service)
+		if err != nil {
+			return "", err
+		}
+		o.Repair(s.fleet, index)
+		return "", nil
 	default:
 		o, err := s.keyed(c.Split.Service)
 		if err != nil {
@@ -219,10 +228,12 @@
 	if err != nil {
 		return err
 	}
-	if o := s.slices[a.Service]; o != nil && replaced {
-		o.Replace(a.Backend, s.fleet, index)
+	if o := s.slices[a.Service]; o != nil {
+		if replaced {
+			o.Replace(a.Backend, s.fleet, index)
+		}
+		o.Repair(s.fleet, index)
 	}
-	s.reassign(a.Service, index)
 	return nil
 }
 
--- a/internal/fleet/backends.go
+++ b/internal/fleet/backends.go
@@ -35,6 +35,9 @@
 	if old == nil || replaced || old.Lost || old.Incarnation != next.Incarnation || old.Address != next.Address {
 		next.Epoch = index
 	}
+	if old == nil {
+		f.order = nil
+	}
 	f.backends[ref] = next
 	f.changedBackends[ref] = true
 	f.assignDispatchers(index)
@@ -146,6 +149,7 @@
 	}
 	if lost > maxAbsent {
 		delete(f.backends, first)
+		f.order = nil
 		f.changedBackends[first] = true
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,7 +63,8 @@
 	hosts    map[string]*Host
 	backends map[table.BackendRef]*Backend
 	drains   map[DrainKey]*Drain
-	term     uint64 // of the last leader that recorded its election
+	term     uint64             // of the last leader that recorded its election
+	order    []table.BackendRef // sorted references, nil after an addition or removal
 
 	changedHosts    map[string]bool
 	changedBackends map[table.BackendRef]bool
@@ -150,9 +151,12 @@
 // sortedBackends returns all references in a fixed order, so that decisions over
 // all backend servers are the same on every replica.
 func (f *Fleet) sortedBackends() []table.BackendRef {
-	return slices.SortedFunc(maps.Keys(f.backends), func(a, b table.BackendRef) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
-	})
+	if f.order == nil {
+		f.order = slices.SortedFunc(maps.Keys(f.backends), func(a, b table.BackendRef) int {
+			return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+		})
+	}
+	return f.order
 }
 
 func pushPast(past []string, name string) []string {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -148,6 +148,78 @@
 	}
 }
 
+// Promote gives the slices of lost owners to their standbys. It leaves the repair
+// of standbys to a later Reassign, because that weighs all slices against each
+// other: when a data centre is lost, each of hundreds of losses would pay for it.
+// When a standby is missing too, it does a Reassign at once.
+func (s *Slices) Promote(fleet Fleet, index uint64) {
+	available := map[string]bool{}
+	for _, server := range fleet.Available(s.service) {
+		available[server.Name] = true
+	}
+	for i := range s.list {
+		e := &s.list[i]
+		target := e.Standby
+		if e.State == table.SliceReleasing {
+			target = e.Next
+		}
+		lost := e.Owner != "" && !available[e.Owner] && !fleet.Alive(table.BackendRef{Service: s.service, Name: e.Owner})
+		switch {
+		case (lost || e.State == table.SliceReleasing) && !available[target]:
+			s.Reassign(fleet, index)
+			return
+		case lost:
+			if e.Standby == target {
+				e.Standby = ""
+			}
+			s.grant(e, target, index)
+		}
+	}
+}
+
+// Repair does a Reassign if a slice is not complete.
+func (s *Slices) Repair(fleet Fleet, index uint64) {
+	c := NewCoverage(fleet.Available(s.service))
+	for i := range s.list {
+		if !c.Complete(&s.list[i]) {
+			s.Reassign(fleet, index)
+			return
+		}
+	}
+}
+
+// Coverage tells whether slices have what the available servers can provide.
+type Coverage struct {
+	dataCentre map[string]string // by server
+	several    bool              // servers are in several data centres
+}
+
+// NewCoverage returns the coverage by servers.
+func NewCoverage(servers []placement.Server) Coverage {
+	c := Coverage{dataCentre: make(map[string]string, len(servers))}
+	for _, s := range servers {
+		c.dataCentre[s.Name] = s.DataCentre
+		c.several = c.several || s.DataCentre != servers[0].DataCentre
+	}
+	return c
+}
+
+// Complete reports whether a slice has an available owner, or next owner, and a
+// standby elsewhere, in another data centre where there is one.
+func (c Coverage) Complete(s *table.Slice) bool {
+	holder := s.Owner
+	if s.State == table.SliceReleasing {
+		holder = s.Next
+	}
+	if holder == "" || len(c.dataCentre) < 2 {
+		_, ok := c.dataCentre[holder]
+		return ok || (holder == "" && len(c.dataCentre) == 0)
+	}
+	at, ok := c.dataCentre[holder]
+	standbyAt, standby := c.dataCentre[s.Standby]
+	return ok && standby && s.Standby != holder && (!c.several || standbyAt != at)
+}
+
 // Replace gives away the slices of a server whose process was replaced by a new
 // one: what the old process held is over, as after a loss.
 func (s *Slices) Replace(backend string, fleet Fleet, index uint64) {
