Rewrite the benchmarks more densely and add hot-key and keyed cases

Placement compares at most 64 servers per slice, so that its cost does not grow with the number of servers.

--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -2,46 +2,258 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/limit"
+)
+
+// sim is a queue of events in simulated time, the latest first.
+type sim struct {
+	now    time.Time
+	events []event
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	at := s.now.Add(d)
+	i, _ := slices.BinarySearchFunc(s.events, at, func(e event, t time.Time) int { return t.Compare(e.at) })
+	s.events = slices.Insert(s.events, i, event{at, do})
+}
+
+func (s *sim) run() {
+	for n := len(s.events); n > 0; n = len(s.events) {
+		e := s.events[n-1]
+		s.events, s.now = s.events[:n-1], e.at
+		e.do()
+	}
+}
+
+const (
+	hosts     = 10 // entry hosts, each with a picker of its own, in 4 data centres
+	runTime   = 60 * time.Second
+	warmUp    = 10 * time.Second
+	meanWork  = 10 * time.Millisecond // half of it fixed, half exponential
+	oneWay    = 500 * time.Microsecond
+	deadline  = 2 * time.Second
+	slowness  = 10
+	slowFor   = 2 * time.Second
+	slowShare = 10 // one in so many servers is slow, at least one
 )
 
-// measure runs s with three seeds and reports the mean and half the range of each metric.
-func measure(b *testing.B, s setup) {
-	values := map[string][]float64{}
-	for b.Loop() {
-		clear(values)
-		for s.seed = 1; s.seed <= 3; s.seed++ {
-			c := simulate(s)
-			values["p50-ms"] = append(values["p50-ms"], c.percentile(0.5))
-			values["p99-ms"] = append(values["p99-ms"], c.percentile(0.99))
-			values["p999-ms"] = append(values["p999-ms"], c.percentile(0.999))
-			values["refused-%"] = append(values["refused-%"], 100*float64(c.refused)/float64(c.requests))
-			values["local-%"] = append(values["local-%"], 100*float64(c.nearby)/float64(c.requests+c.hedged))
-			values["extra-%"] = append(values["extra-%"], 100*float64(c.hedged)/float64(c.requests))
+// cluster is one run of a service. Each server has the admission of package limit.
+type cluster struct {
+	sim
+	servers, slots                         int
+	slow, keyed, hedges, robin, unqueued   bool
+	maxWait                                time.Duration
+	random                                 *rand.Rand
+	seed                                   uint64
+	start                                  time.Time
+	pickers                                [hosts]*Picker
+	hedge                                  [hosts]*Budget
+	names                                  [hosts][]Candidate
+	admit                                  []*limit.Admission
+	tries                                  []*try // by id
+	turn, requests, local, hedged, refused int
+	latency                                []float64 // milliseconds
+}
+
+type request struct {
+	host  int
+	begun time.Time
+	done  bool
+	tried map[string]bool
+	tries []*try
+}
+
+type try struct {
+	*request
+	id            uint64
+	server        int
+	sent          time.Time
+	running, over bool
+}
+
+func (c cluster) simulate(seed uint64) map[string]float64 {
+	c.seed, c.random, c.now = seed, rand.New(rand.NewPCG(seed, 7)), time.Unix(0, 0)
+	c.start = c.now
+	for h := range hosts {
+		c.pickers[h], c.hedge[h] = NewPicker(seed*100+uint64(h)), NewBudget(0.05, 3)
+		for i := range c.servers {
+			c.names[h] = append(c.names[h], Candidate{string(rune('A' + i)), i%4 == h%4, c.slots})
+		}
+	}
+	for range c.servers {
+		c.admit = append(c.admit, limit.New(limit.Config{Slots: c.slots, Ramp: time.Second, QueueLen: 64, MaxWait: c.maxWait}, c.now))
+	}
+	c.after(0, c.arrive)
+	c.run()
+	slices.Sort(c.latency)
+	at := func(p float64) float64 { return c.latency[int(p*float64(len(c.latency)))] }
+	percent := func(n int) float64 { return 100 * float64(n) / float64(c.requests) }
+	return map[string]float64{"p50-ms": at(0.5), "p99-ms": at(0.99), "p999-ms": at(0.999),
+		"refused-%": 100 * float64(c.refused) / float64(c.refused+len(c.latency)), "extra-%": percent(c.hedged), "local-%": percent(c.local)}
+}
+
+// arrive begins a request at a random host and schedules the next one, at 60% of
+// the capacity.
+func (c *cluster) arrive() {
+	if c.now.Sub(c.start) < runTime {
+		c.after(time.Duration(c.random.ExpFloat64()*float64(meanWork)/0.6/float64(c.servers*c.slots)), c.arrive)
+	}
+	r := &request{host: c.random.IntN(hosts), begun: c.now, tried: map[string]bool{}}
+	c.requests++
+	c.hedge[r.host].OnRequest()
+	c.send(r)
+	if wait, ok := c.pickers[r.host].HedgeAfter(c.now); ok && c.hedges {
+		c.after(wait, func() {
+			if !r.done && c.hedge[r.host].TrySpend() {
+				c.hedged++
+				c.send(r)
+			}
+		})
+	}
+}
+
+func (c *cluster) send(r *request) {
+	t := &try{request: r, id: uint64(len(c.tries)), sent: c.now}
+	switch c.turn++; {
+	case c.keyed:
+		t.server = c.random.IntN(c.servers)
+	case c.robin:
+		t.server = c.turn % c.servers
+	default:
+		name, _ := c.pickers[r.host].Pick(c.now, c.names[r.host], r.tried)
+		t.server = int(name[0] - 'A')
+	}
+	target := c.names[r.host][t.server]
+	if target.Local {
+		c.local++
+	}
+	r.tried[target.Name] = true
+	r.tries, c.tries = append(r.tries, t), append(c.tries, t)
+	c.pickers[r.host].Sent(c.now, target.Name)
+	c.after(oneWay, func() {
+		if t.over {
+			return
+		} else if c.unqueued {
+			c.execute(t)
+			return
+		}
+		switch c.admit[t.server].Offer(c.now, t.id, r.begun.Add(deadline)) {
+		case limit.Run:
+			c.execute(t)
+		case limit.Refuse:
+			c.after(oneWay, func() { c.end(t, false) })
+		}
+	})
+}
+
+// execute runs t on its server and lets the next ones run when it is over.
+func (c *cluster) execute(t *try) {
+	t.running = true
+	begun, work := c.now, time.Duration(float64(meanWork)*(0.5+0.5*c.random.ExpFloat64()))
+	c.after(c.duration(t.server, work), func() {
+		if !t.over {
+			c.free(t, limit.Outcome{Latency: c.now.Sub(begun)})
+			c.after(oneWay, func() { c.end(t, true) })
 		}
+	})
+}
+
+func (c *cluster) free(t *try, o limit.Outcome) {
+	t.running = false
+	if c.unqueued {
+		return
 	}
-	b.ReportMetric(0, "ns/op")
-	for name, v := range values {
-		b.ReportMetric((v[0]+v[1]+v[2])/3, name)
-		b.ReportMetric((max(v[0], v[1], v[2])-min(v[0], v[1], v[2]))/2, name+"±")
+	c.admit[t.server].Finish(c.now, o)
+	run, expired := c.admit[t.server].Ready(c.now)
+	for _, id := range run {
+		c.execute(c.tries[id])
+	}
+	for _, id := range expired {
+		c.end(c.tries[id], false)
 	}
 }
 
-// Stragglers: a tenth of the servers, 10 times slower for 2 s at a time.
+// end takes the answer to a try. The first good one cancels the other, which its
+// server accepts.
+func (c *cluster) end(t *try, ok bool) {
+	if t.over {
+		return
+	}
+	t.over = true
+	c.pickers[t.host].Done(c.now, c.names[t.host][t.server].Name, c.now.Sub(t.sent), ok)
+	t.done = true
+	for _, other := range t.tries {
+		switch {
+		case other.over:
+		case !ok:
+			t.done = false
+		case other.running:
+			c.free(other, limit.Outcome{Cancelled: true})
+			fallthrough
+		default:
+			c.admit[other.server].Cancel(other.id)
+			other.over = true
+			c.pickers[t.host].Done(c.now, c.names[t.host][other.server].Name, c.now.Sub(other.sent), true)
+		}
+	}
+	if !t.done || t.begun.Sub(c.start) < warmUp {
+		return
+	} else if ok {
+		c.latency = append(c.latency, c.now.Sub(t.begun).Seconds()*1e3)
+	} else {
+		c.refused++
+	}
+}
+
+// duration is the time that work takes from now on. Every slowFor another set of
+// servers is slow.
+func (c *cluster) duration(server int, work time.Duration) time.Duration {
+	begin := c.now.Sub(c.start)
+	for at := begin; ; {
+		block := at / slowFor
+		left, factor := (block+1)*slowFor-at, time.Duration(1)
+		first := int(uint64(block+1) * (c.seed*2 + 2654435761) >> 8 % uint64(c.servers))
+		if c.slow && (server-first+c.servers)%c.servers < (c.servers+slowShare-1)/slowShare {
+			factor = slowness
+		}
+		if work*factor <= left {
+			return at + work*factor - begin
+		}
+		work, at = work-left/factor, at+left
+	}
+}
+
+// measure runs c with three seeds and reports the mean and half the range of each metric.
+func measure(b *testing.B, name string, c cluster) {
+	b.Run(name, func(b *testing.B) {
+		var x, y, z map[string]float64
+		for b.Loop() {
+			x, y, z = c.simulate(1), c.simulate(2), c.simulate(3)
+		}
+		b.ReportMetric(0, "ns/op")
+		for k := range x {
+			b.ReportMetric((x[k]+y[k]+z[k])/3, k)
+			b.ReportMetric((max(x[k], y[k], z[k])-min(x[k], y[k], z[k]))/2, k+"±")
+		}
+	})
+}
+
 func BenchmarkStragglers(b *testing.B) {
-	shapes := []struct {
-		name           string
-		servers, slots int
-	}{{"catalogue", 8, 2}, {"vault", 6, 4}}
-	for _, shape := range shapes {
-		for _, load := range []float64{0.3, 0.6} {
-			base := setup{servers: shape.servers, slots: shape.slots, load: load}
-			for _, mode := range []string{"round-robin", "picker", "hedged"} {
-				for _, slow := range []bool{false, true} {
-					s := base
-					s.stragglers, s.roundRobin, s.hedges = slow, mode == "round-robin", mode == "hedged"
-					b.Run(fmt.Sprintf("%s/load=%v/%s/slow=%v", shape.name, load, mode, slow), func(b *testing.B) { measure(b, s) })
-				}
+	for _, c := range []cluster{{servers: 8, slots: 2}, {servers: 6, slots: 4}} {
+		for _, mode := range []string{"round-robin", "picker", "hedged"} {
+			for _, c.slow = range []bool{false, true} {
+				c.robin, c.hedges = mode == "round-robin", mode == "hedged"
+				measure(b, fmt.Sprintf("%dx%d/%s/slow=%v", c.servers, c.slots, mode, c.slow), c)
 			}
 		}
 	}
@@ -50,13 +262,14 @@
 // Keyed: each request has one owner. The bound runs every request at once at the
 // owner's speed, which no admission or order of service can beat.
 func BenchmarkKeyedStragglers(b *testing.B) {
-	for _, prefer := range []string{"availability", "tail_latency"} {
-		for _, mode := range []string{"healthy", "ours", "bound"} {
-			s := setup{servers: 30, slots: 2, load: 0.6, keyed: true, stragglers: mode != "healthy", unqueued: mode == "bound"}
-			if prefer == "tail_latency" {
-				s.maxWait = 5 * meanWork
-			}
-			b.Run(prefer+"/"+mode, func(b *testing.B) { measure(b, s) })
-		}
+	for _, c := range []cluster{{servers: 20, slots: 4}, {servers: 30, slots: 2}} {
+		c.keyed = true
+		measure(b, fmt.Sprintf("%dx%d/healthy", c.servers, c.slots), c)
+		c.slow = true
+		measure(b, fmt.Sprintf("%dx%d/availability", c.servers, c.slots), c)
+		c.maxWait = 5 * meanWork
+		measure(b, fmt.Sprintf("%dx%d/tail_latency", c.servers, c.slots), c)
+		c.unqueued = true
+		measure(b, fmt.Sprintf("%dx%d/bound", c.servers, c.slots), c)
 	}
 }
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -9,27 +9,6 @@
 	"testing"
 )
 
-// world is a keyed service in simulated time: keys with loads, and its slices.
-type world struct {
-	random  *rand.Rand
-	hashes  []uint64 // of the keys, sorted
-	loads   []float64
-	total   float64
-	starts  []uint64
-	slices  []Slice
-	alive   []Server
-	all     []Server
-	moved   float64
-	moves   int
-	ownKeys map[uint64]bool
-}
-
-const (
-	keyCount  = 200_000
-	hottest   = 160
-	maxRounds = 200
-)
-
 // shape is one deployment of section 1.5 of the design page.
 type shape struct {
 	name                  string
@@ -38,19 +17,37 @@
 
 var shapes = []shape{{"lathe", 20, 4, 3}, {"stock", 30, 2, 4}}
 
-// newWorld returns a service with keys of uniform or Zipf(1.0) load.
+// world is a keyed service whose slices are settled in simulated rounds.
+type world struct {
+	random     *rand.Rand
+	hashes     []uint64 // of the keys, sorted
+	loads      []float64
+	rank       []int // keys by falling load
+	starts     []uint64
+	slices     []Slice
+	all, alive []Server
+	own        map[uint64]bool
+	total      float64
+	moved      float64
+	moves      int
+}
+
+const (
+	keyCount = 200_000
+	hottest  = 160
+)
+
 func newWorld(s shape, zipf bool, seed uint64) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 5)), ownKeys: map[uint64]bool{}}
+	w := &world{random: rand.New(rand.NewPCG(seed, 5)), own: map[uint64]bool{}, loads: make([]float64, keyCount)}
 	for i := range s.servers {
-		w.all = append(w.all, Server{Name: fmt.Sprintf("s%02d", i), DataCentre: strconv.Itoa(i % s.zones), Slots: s.slots})
+		w.all = append(w.all, Server{fmt.Sprintf("s%02d", i), strconv.Itoa(i % s.zones), s.slots})
 	}
-	w.alive = w.all
 	for range keyCount {
 		w.hashes = append(w.hashes, w.random.Uint64())
 	}
-	sort.Slice(w.hashes, func(i, j int) bool { return w.hashes[i] < w.hashes[j] })
-	w.loads = make([]float64, keyCount)
-	for rank, i := range w.random.Perm(keyCount) {
+	slices.Sort(w.hashes)
+	w.rank = w.random.Perm(keyCount)
+	for rank, i := range w.rank {
 		w.loads[i] = 1
 		if zipf {
 			w.loads[i] = keyCount / 10 / float64(rank+1)
@@ -60,18 +57,15 @@
 	for i := range uint64(1024) {
 		w.starts = append(w.starts, i<<54)
 	}
-	w.slices = make([]Slice, len(w.starts))
-	w.weigh()
+	w.alive, w.slices = w.all, make([]Slice, 1024)
+	w.split(w.loads)
+	w.settle(w.loads, 200)
 	return w
 }
 
-func (w *world) sliceOf(hash uint64) int {
-	return sort.Search(len(w.starts), func(i int) bool { return w.starts[i] > hash }) - 1
-}
-
-// weigh sets the load of each slice.
-func (w *world) weigh() {
-	s := 0
+// owners returns the owner of each key and sets the load of each slice.
+func (w *world) owners(loads []float64) []string {
+	owners, s := make([]string, 0, keyCount), 0
 	for i := range w.slices {
 		w.slices[i].Load = 0
 	}
@@ -79,109 +73,133 @@
 		for s+1 < len(w.starts) && w.starts[s+1] <= h {
 			s++
 		}
-		w.slices[s].Load += w.loads[i]
+		w.slices[s].Load += loads[i]
+		owners = append(owners, w.slices[s].Owner)
 	}
+	return owners
 }
 
 // split makes slices of the hot keys.
-func (w *world) split() {
+func (w *world) split(loads []float64) {
 	var keys []KeyLoad
 	for i, h := range w.hashes {
-		if w.loads[i] > w.total/10_000 {
-			keys = append(keys, KeyLoad{h, w.loads[i], w.ownKeys[h]})
+		if loads[i] > w.total/10_000 {
+			keys = append(keys, KeyLoad{h, loads[i], w.own[h]})
 		}
 	}
 	for _, h := range HotKeys(keys, w.total, len(w.alive), HotOptions{}) {
-		w.ownKeys[h] = true
+		w.own[h] = true
 		for _, at := range []uint64{h, h + 1} {
-			if i := w.sliceOf(at); w.starts[i] != at {
-				w.starts = append(w.starts[:i+1], append([]uint64{at}, w.starts[i+1:]...)...)
-				w.slices = append(w.slices[:i+1], append([]Slice{w.slices[i]}, w.slices[i+1:]...)...)
+			if i, found := slices.BinarySearch(w.starts, at); !found {
+				w.starts, w.slices = slices.Insert(w.starts, i, at), slices.Insert(w.slices, i, w.slices[i-1])
 			}
 		}
 	}
-	w.weigh()
+	w.owners(loads)
 }
 
 // take replaces the slices and counts the load that changed its owner.
 func (w *world) take(next []Slice) {
 	for i := range next {
-		if w.slices[i].Owner != "" && next[i].Owner != w.slices[i].Owner {
-			w.moved += next[i].Load
-			w.moves++
+		if next[i].Owner != w.slices[i].Owner && w.slices[i].Owner != "" {
+			w.moved, w.moves = w.moved+next[i].Load, w.moves+1
 		}
 	}
 	w.slices = next
 }
 
-// round assigns and rebalances once and reports whether anything moved.
-func (w *world) round() bool {
-	w.take(Assign(w.alive, w.slices))
-	moves := Rebalance(w.alive, w.slices, Options{Floor: 0.8})
-	next := append([]Slice(nil), w.slices...)
-	for _, m := range moves {
-		next[m.Index].Owner = m.To
-	}
-	w.take(next)
-	return len(moves) > 0
-}
-
-func (w *world) settle() (rounds int) {
-	for rounds = 1; w.round() && rounds < maxRounds; rounds++ {
+// settle assigns and rebalances by the measured loads until nothing moves.
+func (w *world) settle(loads []float64, rounds int) {
+	for moving := true; moving && rounds > 0; rounds-- {
+		w.take(Assign(w.alive, w.slices))
+		w.owners(loads)
+		next := slices.Clone(w.slices)
+		moves := Rebalance(w.alive, w.slices, Options{Floor: 0.8})
+		for _, m := range moves {
+			next[m.Index].Owner = m.To
+		}
+		w.take(next)
+		moving = len(moves) > 0
 	}
 	w.take(Assign(w.alive, w.slices))
-	return rounds
 }
 
-// imbalance is max/mean, where what the hottest key of a server has above the
-// mean does not count.
-func (w *world) imbalance(owner func(i int) string) float64 {
-	load, top := map[string]float64{}, map[string]float64{}
-	for i, l := range w.loads {
-		o := owner(i)
-		load[o] += l
-		top[o] = max(top[o], l)
+// imbalance is max/mean; what the hottest key of a server has above the mean does not count.
+func (w *world) imbalance(owners []string) (worst float64) {
+	load, top, mean := map[string]float64{}, map[string]float64{}, w.total/float64(len(w.alive))
+	for i, o := range owners {
+		load[o], top[o] = load[o]+w.loads[i], max(top[o], w.loads[i])
 	}
-	mean, worst := w.total/float64(len(w.alive)), 0.0
 	for o, l := range load {
 		worst = max(worst, (l-max(top[o]-mean, 0))/mean)
 	}
 	return worst
 }
 
-func (w *world) owners() func(i int) string {
-	s := 0
-	return func(i int) string {
-		for s+1 < len(w.starts) && w.starts[s+1] <= w.hashes[i] {
-			s++
+// hashed returns the owners by a baseline: the hash modulo the number of servers,
+// or a ring with 100 points per server and no bound on load.
+func (w *world) hashed(how string, alive []Server) (owners []string) {
+	ring, names := []uint64{}, map[uint64]string{}
+	for _, s := range alive {
+		n, _ := strconv.ParseUint(s.Name[1:], 10, 64)
+		for random, k := rand.New(rand.NewPCG(n, 9)), 0; k < 100; k++ {
+			ring = append(ring, random.Uint64())
+			names[ring[len(ring)-1]] = s.Name
 		}
-		return w.slices[s].Owner
 	}
+	slices.Sort(ring)
+	for _, h := range w.hashes {
+		at := sort.Search(len(ring), func(i int) bool { return ring[i] >= h }) % len(ring)
+		owners = append(owners, map[string]string{"rehash": alive[h%uint64(len(alive))].Name, "ring": names[ring[at]]}[how])
+	}
+	return owners
 }
 
-// rehash is the naive baseline: hash modulo the number of servers.
-func rehash(alive []Server) func(hash uint64) string {
-	return func(hash uint64) string { return alive[hash%uint64(len(alive))].Name }
-}
-
-// ring is consistent hashing with 100 points per server and no bound on load.
-func ring(alive []Server) func(hash uint64) string {
-	type point struct {
-		at   uint64
-		name string
+// loss takes servers out and brings them back. must is the load of the lost
+// servers; forced adds what the least loaded server has to give up to take a
+// single heavy key and stay within the target.
+func (w *world) loss(how string, lost func(i int) bool) map[string]float64 {
+	place := func() []string {
+		if how != "ours" {
+			return w.hashed(how, w.alive)
+		}
+		w.settle(w.loads, 200)
+		return w.owners(w.loads)
 	}
-	var points []point
-	for _, s := range alive {
-		n, _ := strconv.ParseUint(s.Name[1:], 10, 64)
-		random := rand.New(rand.NewPCG(n, 9))
-		for range 100 {
-			points = append(points, point{random.Uint64(), s.Name})
+	before, must, forced, left := place(), 0.0, 0.0, []Server{}
+	for i, s := range w.all {
+		if !lost(i) {
+			left = append(left, s)
+		}
+	}
+	mean, least := w.total/float64(len(left)), slices.Min(newPlan(left, w.slices).own)
+	isLost := func(o string) bool { return !slices.ContainsFunc(left, func(s Server) bool { return s.Name == o }) }
+	for i, o := range before {
+		if l := w.loads[i]; isLost(o) {
+			must += l
+			forced += min(least, max(min(l, mean)+least-DefaultTarget*mean, 0))
+		}
+	}
+	out := map[string]float64{"before": w.imbalance(before)}
+	w.alive, w.moved = left, 0
+	if how == "ours" {
+		w.take(Assign(left, w.slices))
+		out["at-loss"] = w.imbalance(w.owners(w.loads))
+	}
+	after := place()
+	out["after-loss"] = w.imbalance(after)
+	for i := range before {
+		if how != "ours" && before[i] != after[i] {
+			w.moved += w.loads[i]
 		}
 	}
-	sort.Slice(points, func(i, j int) bool { return points[i].at < points[j].at })
-	return func(hash uint64) string {
-		return points[sort.Search(len(points), func(i int) bool { return points[i].at >= hash })%len(points)].name
+	out["moved/lost"], out["moved/forced"] = w.moved/must, w.moved/(must+forced)
+	if w.alive = w.all; how == "ours" {
+		w.moved = 0
 	}
+	out["after-return"] = w.imbalance(place())
+	out["return-moved"] = w.moved / (w.total * float64(len(w.all)-len(left)) / float64(len(w.all)))
+	return out
 }
 
 // measure runs do with three seeds and reports the mean and half the range of each metric.
@@ -193,39 +211,23 @@
 		}
 	}
 	b.ReportMetric(0, "ns/op")
-	for name := range runs[0] {
-		x, y, z := runs[0][name], runs[1][name], runs[2][name]
+	for name, x := range runs[0] {
+		y, z := runs[1][name], runs[2][name]
 		b.ReportMetric((x+y+z)/3, name)
 		b.ReportMetric((max(x, y, z)-min(x, y, z))/2, name+"±")
 	}
 }
 
-// remaining returns the servers after a loss.
-func remaining(all []Server, what string) (left []Server) {
-	for i, s := range all {
-		lost := map[string]bool{"server": i == 3, "fifth": i%5 == 3, "zone": s.DataCentre == "1"}[what]
-		if !lost {
-			left = append(left, s)
-		}
-	}
-	return left
-}
-
-// Loss and return of one server, a fifth of the servers and a data centre. The
-// load that has to move is that of the lost servers, and their fair share on return.
+// Loss and return of one server, a fifth of the servers and a data centre.
 func BenchmarkLoss(b *testing.B) {
 	for _, s := range shapes {
+		lost := map[string]func(i int) bool{"server": func(i int) bool { return i == 3 },
+			"fifth": func(i int) bool { return i%5 == 3 }, "zone": func(i int) bool { return i%s.zones == 1 }}
 		for _, keys := range []string{"uniform", "zipf"} {
 			for _, what := range []string{"server", "fifth", "zone"} {
 				for _, how := range []string{"rehash", "ring", "ours"} {
 					b.Run(fmt.Sprintf("%s/%s/%s/%s", s.name, keys, what, how), func(b *testing.B) {
-						measure(b, func(seed uint64) map[string]float64 {
-							w := newWorld(s, keys == "zipf", seed)
-							if how != "ours" {
-								return w.lossHashed(map[string]func([]Server) func(uint64) string{"rehash": rehash, "ring": ring}[how], what)
-							}
-							return w.loss(what)
-						})
+						measure(b, func(seed uint64) map[string]float64 { return newWorld(s, keys == "zipf", seed).loss(how, lost[what]) })
 					})
 				}
 			}
@@ -233,65 +235,48 @@
 	}
 }
 
-func (w *world) loss(what string) map[string]float64 {
-	w.split()
-	w.settle()
-	before := w.imbalance(w.owners())
-	left := remaining(w.all, what)
-	must := w.mustMove(left)
-	w.alive, w.moved, w.moves = left, 0, 0
-	w.take(Assign(w.alive, w.slices))
-	at := w.imbalance(w.owners())
-	w.settle()
-	out := map[string]float64{"imbalance": before, "at-loss": at, "after-loss": w.imbalance(w.owners()), "loss-moved": w.moved / must}
-	w.alive, w.moved = w.all, 0
-	w.settle()
-	out["after-return"] = w.imbalance(w.owners())
-	out["return-moved"] = w.moved / (w.total * float64(len(w.all)-len(left)) / float64(len(w.all)))
-	return out
-}
-
-// mustMove is the load of the lost slices, and what the least loaded server has
-// to give up when it takes over a single heavy key: the rest of 1.15 x the mean.
-func (w *world) mustMove(left []Server) float64 {
-	p, must := newPlan(left, w.slices), 0.0
-	least, mean := slices.Min(p.own), w.total/float64(len(left))
-	for i, s := range w.slices {
-		if p.owner[i] == none {
-			must += s.Load
-			if w.ownKeys[w.starts[i]] {
-				must += min(least, max(min(s.Load, mean)+least-DefaultTarget*mean, 0))
-			}
+// The 160 hottest keys change at once. Every second the load of that second, a
+// sample of 20,000 requests averaged with the last, leads to splits and moves.
+func BenchmarkHotKeys(b *testing.B) {
+	for _, s := range shapes {
+		for _, how := range []string{"static", "moves", "ours"} {
+			b.Run(s.name+"/"+how, func(b *testing.B) {
+				measure(b, func(seed uint64) map[string]float64 { return newWorld(s, true, seed).changeHot(how) })
+			})
 		}
 	}
-	return must
 }
 
-func contains(servers []Server, name string) bool {
-	for _, s := range servers {
-		if s.Name == name {
-			return true
-		}
+func (w *world) changeHot(how string) map[string]float64 {
+	seen := slices.Clone(w.loads)
+	for k := range hottest {
+		i, j := w.rank[k], w.rank[keyCount/2+k]
+		w.loads[i], w.loads[j] = w.loads[j], w.loads[i]
 	}
-	return false
-}
-
-func (w *world) lossHashed(place func([]Server) func(uint64) string, what string) map[string]float64 {
-	left := remaining(w.all, what)
-	before, after := place(w.all), place(left)
-	must, moved := 0.0, 0.0
-	for i, h := range w.hashes {
-		if !contains(left, before(h)) {
-			must += w.loads[i]
+	sum, sums := 0.0, make([]float64, keyCount)
+	for i, l := range w.loads {
+		sum += l
+		sums[i] = sum
+	}
+	w.moved, w.moves = 0, 0
+	out := map[string]float64{"at-change": w.imbalance(w.owners(w.loads)), "seconds": 60}
+	for second := 1; second <= 60; second++ {
+		for i := range seen {
+			seen[i] /= 2
+		}
+		for range 20_000 {
+			seen[sort.SearchFloat64s(sums, w.random.Float64()*sum)] += sum / 20_000 / 2
+		}
+		if how == "ours" {
+			w.split(seen)
+		}
+		if w.owners(seen); how != "static" {
+			w.settle(seen, 1)
 		}
-		if before(h) != after(h) {
-			moved += w.loads[i]
+		if in := w.imbalance(w.owners(w.loads)) <= DefaultTarget; in && out["seconds"] == 60 {
+			out["seconds"], out["moves"], out["moved/total"] = float64(second), float64(w.moves), w.moved/w.total
 		}
 	}
-	owner := func(i int) string { return before(w.hashes[i]) }
-	out := map[string]float64{"imbalance": w.imbalance(owner), "after-return": w.imbalance(owner), "loss-moved": moved / must}
-	out["return-moved"] = moved / (w.total * float64(len(w.all)-len(left)) / float64(len(w.all)))
-	w.alive = left
-	out["after-loss"] = w.imbalance(func(i int) string { return after(w.hashes[i]) })
+	out["after-60s"], out["moves-60s"], out["moved/total-60s"] = w.imbalance(w.owners(w.loads)), float64(w.moves), w.moved/w.total
 	return out
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,7 +3,12 @@
 // functions are pure and deterministic.
 package placement
 
-import "sort"
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Server is a backend server that may own slices.
 type Server struct {
@@ -87,6 +92,26 @@
 	}
 }
 
+// maxCandidates bounds the servers that are compared for one slice, so that the
+// cost does not grow with the number of servers. The choice among this many drawn
+// ones is nearly as even as the choice among all.
+const maxCandidates = 64
+
+func (p *plan) candidates() int { return min(len(p.servers), maxCandidates) }
+
+// candidate returns the k-th server to compare for slice i: every server in turn,
+// or a drawn one where there are too many.
+func (p *plan) candidate(i, k int) int {
+	n := len(p.servers)
+	if n <= maxCandidates {
+		return (i + k) % n
+	}
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], uint64(i))
+	binary.LittleEndian.PutUint64(key[8:], uint64(k))
+	return int(xxhash.Sum64(key[:]) % uint64(n))
+}
+
 // Assign returns slices with an owner and a standby for each, as far as servers
 // allow. A slice keeps an owner that is among servers. Otherwise its standby
 // takes over, or else the least loaded server. Standbys that are missing, or
@@ -141,8 +166,9 @@
 	}
 	sort.SliceStable(orphans, func(a, b int) bool { return p.load[orphans[a]] > p.load[orphans[b]] })
 	for _, i := range orphans {
-		best := 0
-		for s := range p.servers {
+		best := p.candidate(i, 0)
+		for k := range p.candidates() {
+			s := p.candidate(i, k)
 			if (p.own[s]+p.load[i])/p.weight[s] < (p.own[best]+p.load[i])/p.weight[best] {
 				best = s
 			}
--- a/internal/placement/standby.go
+++ b/internal/placement/standby.go
@@ -9,7 +9,7 @@
 // spread tracks where load goes when a server or a data centre is lost.
 type spread struct {
 	fromServer map[[2]int]float64 // owner, standby: load
-	fromZone   map[[2]int]float64 // data centre of the owner, standby: load
+	fromZone   [][]float64        // data centre of the owner, standby: load
 	base       []float64          // load of each server, at least the mean
 	zoneMean   []float64          // load per weight after the loss of each data centre
 	heaviest   []float64          // load of the heaviest slice of each server
@@ -18,7 +18,7 @@
 // newSpread counts a server below the mean as one at the mean, because slices
 // move to it soon.
 func (p *plan) newSpread() *spread {
-	sp := &spread{fromServer: map[[2]int]float64{}, fromZone: map[[2]int]float64{}}
+	sp := &spread{fromServer: map[[2]int]float64{}, fromZone: make([][]float64, p.zones)}
 	total, weight := 0.0, 0.0
 	zoneWeight := make([]float64, p.zones)
 	for s := range p.servers {
@@ -33,6 +33,7 @@
 		sp.heaviest[o] = max(sp.heaviest[o], p.load[i])
 	}
 	for z := range zoneWeight {
+		sp.fromZone[z] = make([]float64, len(p.servers))
 		sp.zoneMean = append(sp.zoneMean, total/max(weight-zoneWeight[z], 1))
 	}
 	return sp
@@ -41,7 +42,7 @@
 func (p *plan) addStandby(sp *spread, i int, sign float64) {
 	o, s := p.owner[i], p.standby[i]
 	sp.fromServer[[2]int{o, s}] += sign * p.load[i]
-	sp.fromZone[[2]int{p.zone[o], s}] += sign * p.load[i]
+	sp.fromZone[p.zone[o]][s] += sign * p.load[i]
 }
 
 // mayStandBy reports whether server s may be the standby of slices of server o.
@@ -81,7 +82,7 @@
 // loss of the owner's data centre.
 func (p *plan) overloads(sp *spread, i int) bool {
 	z, s := p.zone[p.owner[i]], p.standby[i]
-	return (sp.base[s]+sp.fromZone[[2]int{z, s}])/p.weight[s] > standbySlack*sp.zoneMean[z]
+	return (sp.base[s]+sp.fromZone[z][s])/p.weight[s] > standbySlack*sp.zoneMean[z]
 }
 
 // chooseStandby returns the server on which a loss of the owner of slice i, or
@@ -89,8 +90,8 @@
 // because their owner could give up neither without overloading another server.
 func (p *plan) chooseStandby(sp *spread, i int) int {
 	o, best, bestScore := p.owner[i], none, 0.0
-	for k := range p.servers {
-		s := (o + 1 + k) % len(p.servers) // equal ones in another order for each owner
+	for k := range p.candidates() {
+		s := p.candidate(i, k)
 		if !p.mayStandBy(o, s) {
 			continue
 		}
@@ -99,6 +100,12 @@
 			best, bestScore = s, score
 		}
 	}
+	// The drawn candidates may all be in the owner's data centre.
+	for k := 0; best == none && k < len(p.servers); k++ {
+		if s := (i + k) % len(p.servers); p.mayStandBy(o, s) {
+			best = s
+		}
+	}
 	return best
 }
 
@@ -106,5 +113,5 @@
 // after the loss of o's data centre. The sum lets the loss of the server decide
 // where data centres are even, and the other way round.
 func (p *plan) standbyScore(sp *spread, o, s int) float64 {
-	return (2*sp.base[s] + sp.fromServer[[2]int{o, s}] + sp.fromZone[[2]int{p.zone[o], s}]) / p.weight[s]
+	return (2*sp.base[s] + sp.fromServer[[2]int{o, s}] + sp.fromZone[p.zone[o]][s]) / p.weight[s]
 }
