--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -90,7 +90,8 @@
 }
 
 // Done records that a request that was sent to the named server ended. A
-// refusal or failure, ok false, counts as a slow answer.
+// refusal or failure, ok false, counts as a slow answer. A request that was
+// cancelled because its hedge won is reported with its age and ok true.
 func (p *Picker) Done(now time.Time, name string, latency time.Duration, ok bool) {
 	s := p.servers[name]
 	if s == nil {
--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -37,7 +37,6 @@
 
 const (
 	hosts     = 10 // entry hosts, each with a picker of its own, in 4 data centres
-	runTime   = 60 * time.Second
 	warmUp    = 10 * time.Second
 	meanWork  = 10 * time.Millisecond // half of it fixed, half exponential
 	oneWay    = 500 * time.Microsecond
@@ -52,7 +51,7 @@
 	sim
 	servers, slots                         int
 	slow, keyed, hedges, robin, unqueued   bool
-	maxWait                                time.Duration
+	maxWait, runTime                       time.Duration
 	random                                 *rand.Rand
 	seed                                   uint64
 	start                                  time.Time
@@ -105,7 +104,7 @@
 // arrive begins a request at a random host and schedules the next one, at 60% of
 // the capacity.
 func (c *cluster) arrive() {
-	if c.now.Sub(c.start) < runTime {
+	if c.now.Sub(c.start) < c.runTime {
 		c.after(time.Duration(c.random.ExpFloat64()*float64(meanWork)/0.6/float64(c.servers*c.slots)), c.arrive)
 	}
 	r := &request{host: c.random.IntN(hosts), begun: c.now, tried: map[string]bool{}}
@@ -249,7 +248,7 @@
 }
 
 func BenchmarkStragglers(b *testing.B) {
-	for _, c := range []cluster{{servers: 8, slots: 2}, {servers: 6, slots: 4}} {
+	for _, c := range []cluster{{servers: 8, slots: 2, runTime: time.Minute}, {servers: 6, slots: 4, runTime: time.Minute}} {
 		for _, mode := range []string{"round-robin", "picker", "hedged"} {
 			for _, c.slow = range []bool{false, true} {
 				c.robin, c.hedges = mode == "round-robin", mode == "hedged"
@@ -262,7 +261,7 @@
 // Keyed: each request has one owner. The bound runs every request at once at the
 // owner's speed, which no admission or order of service can beat.
 func BenchmarkKeyedStragglers(b *testing.B) {
-	for _, c := range []cluster{{servers: 20, slots: 4}, {servers: 30, slots: 2}} {
+	for _, c := range []cluster{{servers: 20, slots: 4, runTime: time.Minute}, {servers: 30, slots: 2, runTime: time.Minute}} {
 		c.keyed = true
 		measure(b, fmt.Sprintf("%dx%d/healthy", c.servers, c.slots), c)
 		c.slow = true
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -139,6 +139,7 @@
 	return time.Duration(larger.ValueAtPercentile(hedgeQuantile)) * time.Microsecond
 }
 
-func (r *recent) quantile(time.Time) (time.Duration, bool) {
-	return r.cached, r.samples >= minRecent
+// quantile is false as well after two windows without samples.
+func (r *recent) quantile(now time.Time) (time.Duration, bool) {
+	return r.cached, r.samples >= minRecent && now.Sub(r.began) < 2*recentWindow
 }
