--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,8 @@
 type gate struct {
 	mu     sync.Mutex
 	opened chan struct{} // closed while the gate is open
+	// waiting counts those that the gate holds back.
+	waiting atomic.Int64
 }
 
 func newGate() *gate {
@@ -63,6 +66,8 @@
 
 // pass returns when the gate is open or done is closed.
 func (g *gate) pass(done <-chan struct{}) {
+	g.waiting.Add(1)
+	defer g.waiting.Add(-1)
 	for {
 		g.mu.Lock()
 		opened := g.opened
--- a/internal/standin/fence.go
+++ b/internal/standin/fence.go
@@ -121,7 +121,7 @@
 	key       string
 	hash      uint64
 	hasKey    bool
-	malformed string // name of the first header that is missing or unreadable
+	malformed string // what is wrong with the headers, if anything
 }
 
 // readTicket reads the headers of a forwarded request.
@@ -137,7 +137,7 @@
 	t.startBy = t.millis(header, wire.HeaderStartBy, true)
 	t.deadline = t.millis(header, wire.HeaderDeadline, false)
 	if t.requestID == "" {
-		t.malformed = wire.HeaderRequestID
+		t.malformed = "header " + wire.HeaderRequestID + " is missing"
 	}
 	return t
 }
@@ -149,7 +149,7 @@
 	}
 	value, err := strconv.ParseUint(text, base, 64)
 	if err != nil && t.malformed == "" {
-		t.malformed = name
+		t.malformed = fmt.Sprintf("header %s is %q, which is no number in base %d", name, text, base)
 	}
 	return value
 }
@@ -162,7 +162,7 @@
 func (f *fence) admits(t ticket, config *Config, now time.Duration) (verdict.Reason, string) {
 	switch {
 	case t.malformed != "":
-		return ReasonHeaders, "header " + t.malformed + " is missing or malformed"
+		return ReasonHeaders, t.malformed
 	case t.service != config.Service:
 		return ReasonService, fmt.Sprintf("the request is for service %q, this server serves %q", t.service, config.Service)
 	case now >= t.startBy:
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -11,16 +11,36 @@
 
 const maxOrderBytes = 64 << 20
 
+// routes does not use http.ServeMux, which would redirect requests whose path
+// has empty or dot segments instead of serving them.
 func (s *Server) routes() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+wire.OrderPath, s.frozen(s.takeOrder))
-	mux.HandleFunc("GET "+wire.OrderPath, s.frozen(s.readOrder))
-	mux.HandleFunc("GET "+wire.HealthPath, s.frozen(s.health))
+	order := byMethod(map[string]http.HandlerFunc{"POST": s.takeOrder, "GET": s.readOrder})
+	paths := map[string]http.HandlerFunc{
+		wire.OrderPath:  s.frozen(order),
+		wire.HealthPath: s.frozen(byMethod(map[string]http.HandlerFunc{"GET": s.health})),
+	}
 	if s.config.Control {
-		mux.HandleFunc("POST "+ControlPath, s.control)
+		paths[ControlPath] = byMethod(map[string]http.HandlerFunc{"POST": s.control})
+	}
+	work := s.frozen(s.work)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if handler := paths[r.URL.Path]; handler != nil {
+			handler(w, r)
+			return
+		}
+		work(w, r)
+	})
+}
+
+func byMethod(handlers map[string]http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		handler := handlers[r.Method]
+		if handler == nil {
+			http.Error(w, r.Method+" is not allowed here", http.StatusMethodNotAllowed)
+			return
+		}
+		handler(w, r)
 	}
-	mux.HandleFunc("/", s.frozen(s.work))
-	return mux
 }
 
 // frozen delays a handler while the server is frozen.
--- /dev/null
+++ b/internal/standin/helpers_test.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// entryHost answers announcements with reply and keeps them.
+type entryHost struct {
+	*httptest.Server
+	mu    sync.Mutex
+	reply func() wire.AnnounceReply
+	heard []wire.Announcement
+}
+
+func newEntry(t *testing.T, reply func() wire.AnnounceReply) *entryHost {
+	e := &entryHost{reply: reply, heard: []wire.Announcement{{}}}
+	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a wire.Announcement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.heard = append(e.heard, a)
+		_ = json.NewEncoder(w).Encode(e.reply())
+	}))
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *entryHost) addr() string { return e.Listener.Addr().String() }
+
+// heardSoFar returns the number of announcements and the last one.
+func (e *entryHost) heardSoFar() (int, wire.Announcement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.heard), e.heard[len(e.heard)-1]
+}
+
+// grant replies with lease 7 for one second.
+func grant() wire.AnnounceReply { return wire.AnnounceReply{LeaseMs: 1000, Lease: 7} }
+
+// once replies with grant to the first announcement and with no lease later.
+func once() func() wire.AnnounceReply {
+	next := grant()
+	return func() (reply wire.AnnounceReply) {
+		reply, next = next, reply
+		return reply
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	limit := time.After(5 * time.Second)
+	for tick := time.NewTicker(time.Millisecond); !condition(); {
+		select {
+		case <-limit:
+			t.Fatalf("%s did not happen within 5 s", what)
+		case <-tick.C:
+		}
+	}
+}
+
+// start runs a stand-in on a fake clock with a lease, if it has entry hosts,
+// and with an order of epoch 10 for the lower half of the hashes.
+func start(t *testing.T, c Config) (*Server, *clock.Fake) {
+	t.Helper()
+	fake := clock.NewFake(time.Unix(1000, 0))
+	c.Backend, c.Service, c.KeyHeader, c.Clock, c.Interval = "b1", "svc", "X-Key", fake, time.Millisecond
+	is := is.New(t)
+	s, err := Start(c)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = s.Close() })
+	if len(c.Entries) > 0 {
+		eventually(t, "the first lease", func() bool { number, _ := s.Lease(); return number == 7 })
+	}
+	status, _ := sendOrder(s, nil)
+	is.Equal(status, http.StatusOK)
+	return s, fake
+}
+
+func sendOrder(s *Server, change func(*wire.Order)) (int, wire.OrderReply) {
+	o := wire.Order{Service: "svc", Backend: "b1", Incarnation: s.Incarnation(), Epoch: 10, Lease: 7, Keyed: true,
+		Slices: []wire.Range{{First: "0", Last: "7fffffffffffffff"}}}
+	if change != nil {
+		change(&o)
+	}
+	body, _ := json.Marshal(o)
+	var reply wire.OrderReply
+	status := decode(&reply)(http.Post("http://"+s.Addr()+wire.OrderPath, "application/json", bytes.NewReader(body)))
+	return status, reply
+}
+
+// decode reads a JSON answer and returns its status, 0 if there was none.
+func decode(into any) func(*http.Response, error) int {
+	return func(response *http.Response, err error) int {
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = response.Body.Close() }()
+		_ = json.NewDecoder(response.Body).Decode(into)
+		return response.StatusCode
+	}
+}
+
+// await keeps a request at work until finish is sent or its caller gave up.
+func await(ctx context.Context, finish chan bool) error {
+	select {
+	case <-finish:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
+// keyIn returns a key whose hash is in the lower or the upper half.
+func keyIn(lower bool) string {
+	for i := 0; ; i++ {
+		if key := strconv.Itoa(i); (service.HashKey(key) < 1<<63) == lower {
+			return key
+		}
+	}
+}
+
+// send forwards a request under lease 7 and epoch 10, with headers changed as
+// given, and describes the answer as "status verdict reason".
+func send(s *Server, headers ...string) (string, *Answer) {
+	r, _ := http.NewRequest("POST", "http://"+s.Addr()+"/x//../y", strings.NewReader("body"))
+	for name, value := range map[string]string{
+		wire.HeaderRequestID: "r1", wire.HeaderService: "svc", wire.HeaderEpoch: "10", wire.HeaderLease: "7",
+		wire.HeaderSlice: "0000000000000000", wire.HeaderStartBy: "900", "X-Key": keyIn(true),
+	} {
+		r.Header.Set(name, value)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := (&http.Client{Timeout: 5 * time.Second}).Do(r)
+	if err != nil {
+		return "no answer", nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "truncated", nil
+	}
+	var answer Answer
+	_ = json.Unmarshal(body, &answer)
+	got := strconv.Itoa(response.StatusCode) + " " + response.Header.Get(verdict.Header) + " " + response.Header.Get(verdict.ReasonHeader)
+	if id := response.Header.Get(wire.HeaderRequestID); id != r.Header.Get(wire.HeaderRequestID) {
+		got += " id " + id
+	}
+	return strings.Join(strings.Fields(got), " "), &answer
+}
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -12,6 +12,7 @@
 // Execution is the record of one request that started to run.
 type Execution struct {
 	Backend     string `json:"backend"`
+	Service     string `json:"service"`
 	Incarnation string `json:"incarnation"`
 	RequestID   string `json:"request_id"`
 	Method      string `json:"method"`
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -1,172 +1,19 @@
 package standin
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
-	"net/http/httptest"
-	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/agatestep/agatestep/internal/clock"
-	"github.com/agatestep/agatestep/internal/service"
-	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
-// entryHost answers announcements with reply and keeps them.
-type entryHost struct {
-	*httptest.Server
-	mu    sync.Mutex
-	reply func() wire.AnnounceReply
-	heard []wire.Announcement
-}
-
-func newEntry(t *testing.T, reply func() wire.AnnounceReply) *entryHost {
-	e := &entryHost{reply: reply}
-	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var a wire.Announcement
-		_ = json.NewDecoder(r.Body).Decode(&a)
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.heard = append(e.heard, a)
-		_ = json.NewEncoder(w).Encode(e.reply())
-	}))
-	t.Cleanup(e.Close)
-	return e
-}
-
-func (e *entryHost) addr() string { return e.Listener.Addr().String() }
-
-func (e *entryHost) count() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.heard)
-}
-
-// grant replies with lease 7 for one second.
-func grant() wire.AnnounceReply { return wire.AnnounceReply{LeaseMs: 1000, Lease: 7} }
-
-// once replies with grant to the first announcement and with no lease later.
-func once() func() wire.AnnounceReply {
-	granted := false
-	return func() wire.AnnounceReply {
-		if granted {
-			return wire.AnnounceReply{}
-		}
-		granted = true
-		return grant()
-	}
-}
-
-func eventually(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	limit := time.After(5 * time.Second)
-	for tick := time.NewTicker(time.Millisecond); !condition(); {
-		select {
-		case <-limit:
-			t.Fatalf("%s did not happen within 5 s", what)
-		case <-tick.C:
-		}
-	}
-}
-
-// start runs a stand-in on a fake clock with a lease, if it has entry hosts,
-// and with an order of epoch 10 for the lower half of the hashes.
-func start(t *testing.T, c Config) (*Server, *clock.Fake) {
-	t.Helper()
-	fake := clock.NewFake(time.Unix(1000, 0))
-	c.Backend, c.Service, c.KeyHeader, c.Clock, c.Interval = "b1", "svc", "X-Key", fake, time.Millisecond
-	s, err := Start(c)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	if len(c.Entries) > 0 {
-		eventually(t, "the first lease", func() bool { number, _ := s.Lease(); return number == 7 })
-	}
-	if status, _ := sendOrder(s, nil); status != http.StatusOK {
-		t.Fatalf("order answered with %d", status)
-	}
-	return s, fake
-}
-
-func sendOrder(s *Server, change func(*wire.Order)) (int, wire.OrderReply) {
-	o := wire.Order{Service: "svc", Backend: "b1", Incarnation: s.Incarnation(), Epoch: 10, Lease: 7, Keyed: true,
-		Slices: []wire.Range{{First: "0", Last: "7fffffffffffffff"}}}
-	if change != nil {
-		change(&o)
-	}
-	body, _ := json.Marshal(o)
-	response, err := http.Post("http://"+s.Addr()+wire.OrderPath, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return 0, wire.OrderReply{}
-	}
-	defer func() { _ = response.Body.Close() }()
-	var reply wire.OrderReply
-	_ = json.NewDecoder(response.Body).Decode(&reply)
-	return response.StatusCode, reply
-}
-
-// await keeps a request at work until finish is sent or its caller gave up.
-func await(ctx context.Context, finish chan bool) error {
-	select {
-	case <-finish:
-	case <-ctx.Done():
-	}
-	return ctx.Err()
-}
-
-// keyIn returns a key whose hash is in the lower or the upper half.
-func keyIn(lower bool) string {
-	for i := 0; ; i++ {
-		if key := strconv.Itoa(i); (service.HashKey(key) < 1<<63) == lower {
-			return key
-		}
-	}
-}
-
-// send forwards a request under lease 7 and epoch 10, with headers changed as
-// given, and describes the answer as "status verdict reason".
-func send(s *Server, headers ...string) (string, *Answer) {
-	r, _ := http.NewRequest("POST", "http://"+s.Addr()+"/x", strings.NewReader("body"))
-	for name, value := range map[string]string{
-		wire.HeaderRequestID: "r1", wire.HeaderService: "svc", wire.HeaderEpoch: "10", wire.HeaderLease: "7",
-		wire.HeaderSlice: "0000000000000000", wire.HeaderStartBy: "900", "X-Key": keyIn(true),
-	} {
-		r.Header.Set(name, value)
-	}
-	for i := 0; i < len(headers); i += 2 {
-		r.Header.Set(headers[i], headers[i+1])
-	}
-	response, err := (&http.Client{Timeout: 5 * time.Second}).Do(r)
-	if err != nil {
-		return "no answer", nil
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return "truncated", nil
-	}
-	var answer Answer
-	_ = json.Unmarshal(body, &answer)
-	got := strconv.Itoa(response.StatusCode) + " " + response.Header.Get(verdict.Header) + " " + response.Header.Get(verdict.ReasonHeader)
-	if id := response.Header.Get(wire.HeaderRequestID); id != r.Header.Get(wire.HeaderRequestID) {
-		got += " id " + id
-	}
-	return strings.Join(strings.Fields(got), " "), &answer
-}
-
 // Guards against a checking server that runs a request of a lost grant, and
 // against stand-ins without checks that check all the same.
 func TestRequestsAgainstTheFence(t *testing.T) {
@@ -227,13 +74,10 @@
 		}
 	}
 	is := is.New(t)
+	var held wire.OrderReply
 	status, _ := sendOrder(trusting, func(o *wire.Order) { o.Slices[0].First = "zz" })
 	is.Equal(status, http.StatusBadRequest)
-	response, err := http.Get("http://" + checking.Addr() + wire.OrderPath)
-	is.NoErr(err)
-	defer func() { _ = response.Body.Close() }()
-	var held wire.OrderReply
-	is.NoErr(json.NewDecoder(response.Body).Decode(&held))
+	is.Equal(decode(&held)(http.Get("http://"+checking.Addr()+wire.OrderPath)), http.StatusOK)
 	is.Equal(held, wire.OrderReply{Accepted: true, Incarnation: checking.Incarnation(), Epoch: 11, Slices: []wire.Range{}})
 }
 
@@ -267,21 +111,15 @@
 	f.renew(100*time.Millisecond, wire.AnnounceReply{LeaseMs: 1000, Lease: 2})
 	f.renew(500*time.Millisecond, wire.AnnounceReply{LeaseMs: 1000, Lease: 1}) // late reply of an old lease
 	is.Equal(f.leaseUntil, 1100*time.Millisecond)
-	entry := newEntry(t, nil)
-	fakes := make(chan *clock.Fake, 1)
-	first := once()
-	entry.reply = func() wire.AnnounceReply {
+	fake, first := clock.NewFake(time.Unix(1000, 0)), once()
+	entry := newEntry(t, func() wire.AnnounceReply {
 		reply := first()
-		if reply.Lease == 7 {
-			(<-fakes).Advance(600 * time.Millisecond) // the reply is 600 ms late
-		}
+		fake.Advance(time.Duration(reply.LeaseMs) * 6 / 10 * time.Millisecond) // the reply with the lease is 600 ms late
 		return reply
-	}
-	fake := clock.NewFake(time.Unix(1000, 0))
-	fakes <- fake
+	})
 	s, err := Start(Config{Backend: "b", Service: "s", Clock: fake, Interval: time.Millisecond, Entries: []string{entry.addr()}})
 	is.NoErr(err)
-	defer func() { _ = s.Close() }()
+	t.Cleanup(func() { _ = s.Close() })
 	eventually(t, "the lease", func() bool { _, held := s.Lease(); return held })
 	fake.Advance(399 * time.Millisecond)
 	_, held := s.Lease()
@@ -319,16 +157,32 @@
 	is.Equal(s.Stats(), Stats{Started: 2, Committed: 2, Shed: 3, ShedCold: 2, Orders: 1, PeakInWork: 2})
 }
 
+// Guards against costs that are not charged, and against load reports without
+// their lag, which would make the router look better than it is.
+func TestCostsAndLoadReports(t *testing.T) {
+	is := is.New(t)
+	s, fake := start(t, Config{WorkTime: 10 * time.Millisecond, ConnectionCost: time.Millisecond, ColdFor: time.Second,
+		ColdSlow: 4, ReportLag: time.Second})
+	is.Equal(s.workTime(true), 44*time.Millisecond)
+	for _, want := range []wire.LoadReport{{}, {AgeMs: 600}, {AgeMs: 1200}, {InFlight: 1, AgeMs: 1200}} {
+		is.Equal(s.reportedLoad(), want)
+		_, _ = s.capacity.acquire(t.Context(), 4, 0)
+		fake.Advance(600 * time.Millisecond)
+	}
+	is.Equal(s.workTime(false), 10*time.Millisecond)
+	s.SetFaults(Faults{SlowFactor: 10, LieLoad: true})
+	is.Equal(s.workTime(true), 110*time.Millisecond)
+	is.Equal(s.reportedLoad(), wire.LoadReport{})
+}
+
 // Guards against failure switches that do nothing, over the control path.
 func TestFaults(t *testing.T) {
 	is := is.New(t)
 	entry := newEntry(t, grant)
 	s, _ := start(t, Config{Control: true, Entries: []string{entry.addr()}})
 	control := func(body string) {
-		response, err := http.Post("http://"+s.Addr()+ControlPath, "application/json", strings.NewReader(body))
-		is.NoErr(err)
-		is.Equal(response.StatusCode, http.StatusNoContent)
-		_ = response.Body.Close()
+		status := decode(nil)(http.Post("http://"+s.Addr()+ControlPath, "application/json", strings.NewReader(body)))
+		is.Equal(status, http.StatusNoContent)
 	}
 	for body, want := range map[string]string{
 		`{"lose_answers":true}`: "no answer", `{"truncate_answers":true}`: "truncated",
@@ -343,14 +197,15 @@
 	is.True(cold)
 	control(`{"freeze":true}`)
 	answers := make(chan string, 1)
-	go func() { got, _ := send(s); answers <- got }()
-	heard := entry.count()
-	eventually(t, "the arrival of the request", func() bool { return s.conns.Load() >= 1 })
-	is.True(entry.count() <= heard+1) // one announcement may have been on its way
-	is.Equal(s.Stats().Started, 4)
+	go func() { sendOrder(s, nil); got, _ := send(s); answers <- got }()
+	heard, _ := entry.heardSoFar()
+	eventually(t, "the arrival of the request", func() bool { return s.gate.waiting.Load() == 2 }) // and an announcement
+	frozen, _ := entry.heardSoFar()
+	is.True(frozen <= heard+1) // one announcement may have been on its way
+	is.True(s.Stats().Started == 4 && s.Stats().Orders == 1)
 	control(`{}`)
 	is.Equal(<-answers, "200 answered")
-	eventually(t, "an announcement after the thaw", func() bool { return entry.count() > heard+1 })
+	eventually(t, "an announcement after the thaw", func() bool { n, _ := entry.heardSoFar(); return n > heard+1 })
 }
 
 // Guards against a server that is lost because one entry host is.
@@ -363,16 +218,12 @@
 	dead := newEntry(t, grant)
 	dead.Close()
 	s, _ := start(t, Config{Entries: []string{dead.addr(), second.addr()}})
-	eventually(t, "announcing to the dispatcher directly", func() bool { return dispatcher.count() > 2 })
-	reached := second.count()
+	eventually(t, "announcing to the dispatcher directly", func() bool { n, _ := dispatcher.heardSoFar(); return n > 2 })
+	reached, _ := second.heardSoFar()
 	dispatcher.Close()
-	eventually(t, "falling back to an entry host", func() bool { return second.count() > reached+2 })
-	is := is.New(t)
-	second.mu.Lock()
-	defer second.mu.Unlock()
-	a := second.heard[len(second.heard)-1]
-	is.Equal(a.Epoch, uint64(10))
-	is.Equal(a.Address, s.Addr())
+	eventually(t, "falling back to an entry host", func() bool { n, _ := second.heardSoFar(); return n > reached+2 })
+	_, a := second.heardSoFar()
+	is.New(t).True(a.Epoch == 10 && a.Address == s.Addr())
 }
 
 // Guards against a drain that cuts requests in flight or does not tell the
@@ -389,11 +240,7 @@
 	<-running
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(t.Context()) }()
-	eventually(t, "an announcement with Leaving", func() bool {
-		entry.mu.Lock()
-		defer entry.mu.Unlock()
-		return entry.heard[len(entry.heard)-1].Leaving
-	})
+	eventually(t, "an announcement with Leaving", func() bool { _, a := entry.heardSoFar(); return a.Leaving })
 	entry.mu.Lock()
 	entry.reply = func() wire.AnnounceReply { return wire.AnnounceReply{} } // released
 	entry.mu.Unlock()
@@ -402,13 +249,36 @@
 	is.Equal(<-answers, "200 answered")
 	is.NoErr(<-drained)
 	is.NoErr(s.Close())
-	file, err := os.Open(path)
+	records, err := ReadRecords(path)
 	is.NoErr(err)
-	defer func() { _ = file.Close() }()
-	var e Execution
-	lines := bufio.NewScanner(file)
-	is.True(lines.Scan())
-	is.NoErr(json.Unmarshal(lines.Bytes(), &e))
-	is.True(e.Committed && e.RequestID == "r1" && e.Epoch == 10 && e.Lease == 7 && e.Key == keyIn(true))
-	is.True(!lines.Scan())
+	is.Equal(len(records), 1)
+	want := s.Executions()[0]
+	is.True(records[0].Start.Equal(want.Start) && records[0].Commit.Equal(want.Commit) && want.Committed)
+	records[0].Start, records[0].Commit = want.Start, want.Commit // the same times, in another location
+	is.Equal(records[0], want)
+	is.True(want.RequestID == "r1" && want.Epoch == 10 && want.Lease == 7 && want.Key == keyIn(true))
+}
+
+// Guards against a judge that overlooks what it is there for.
+func TestJudge(t *testing.T) {
+	run := func(backend, id string, epoch uint64, start, commit int64) Execution {
+		return Execution{Backend: backend, Incarnation: backend, Service: "s", Key: "k", RequestID: id, Epoch: epoch,
+			Start: time.Unix(start, 0), Commit: time.Unix(commit, 0), Committed: true}
+	}
+	dropped := run("b", "1", 1, 0, 9)
+	dropped.Committed = false
+	for _, c := range []struct {
+		want string
+		a, b []Execution
+	}{
+		{"", []Execution{run("a", "1", 5, 0, 2), run("a", "2", 5, 1, 3)}, []Execution{run("b", "3", 6, 3, 4), dropped}},
+		{"committed 2 times", []Execution{run("a", "1", 5, 0, 1)}, []Execution{run("b", "1", 6, 2, 3)}},
+		{"overlaps", []Execution{run("a", "1", 5, 0, 4), run("a", "2", 5, 1, 2)}, []Execution{run("b", "3", 6, 3, 4)}},
+		{"without a higher epoch", []Execution{run("a", "1", 5, 0, 1)}, []Execution{run("b", "2", 5, 2, 3)}},
+	} {
+		got := strings.Join(Judge(c.a, c.b), "\n")
+		if (got == "") != (c.want == "") || !strings.Contains(got, c.want) || strings.Contains(got, "\n") {
+			t.Errorf("got %q, want one line with %q", got, c.want)
+		}
+	}
 }
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -72,7 +72,7 @@
 	if err == nil {
 		t.key, t.hash, t.hasKey = key, service.HashKey(key), true
 	} else if t.sliceText != "" && t.malformed == "" {
-		t.malformed = "with the key: " + err.Error()
+		t.malformed = err.Error()
 	}
 	return t
 }
@@ -118,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := Execution{
-		Backend: s.config.Backend, Incarnation: s.fence.incarnation, RequestID: t.requestID,
+		Backend: s.config.Backend, Service: s.config.Service, Incarnation: s.fence.incarnation, RequestID: t.requestID,
 		Method: r.Method, Path: r.URL.Path, Key: t.key, Slice: t.sliceText,
 		Epoch: t.epoch, Lease: t.lease, Start: s.config.Clock.Now(),
 	}
