Bound the claims of a service file; test queue and deadlines of stand-ins

Cause: 256 hosts and 256 path prefixes fit into a service file of 10 KB and give 65,536 pairs, which the checker and every entry host would hold. The stand-in's queue and its deadline had no test. Ruled out: a lower bound on hosts or prefixes alone, because either list may be long when the other is short. Change: at most 1,024 pairs for each file; tests for the queue, for work past Agatestep-Deadline, and for the body of every answer. With the deadline ignored TestNoCommitAfterTheGrantIsLost fails: `answer "no answer", want "504 may-have-run deadline"`. With a queue that never refuses TestQueue does not end within the test's time limit.

--- a/internal/service/parse.go
+++ b/internal/service/parse.go
@@ -22,6 +22,9 @@
 	MaxDeadline = time.Hour
 	// MaxEntries bounds each list of a service file.
 	MaxEntries = 256
+	// MaxClaims bounds the pairs of a host and a path prefix that one file
+	// claims; every entry host keeps all of them in memory.
+	MaxClaims = 1024
 )
 
 // Defaults for fields that a service file leaves out.
--- a/internal/service/validate.go
+++ b/internal/service/validate.go
@@ -49,6 +49,8 @@
 		"must give hosts, path_prefixes or both")
 	requireEntries(d, "match.hosts", len(f.Match.Hosts))
 	requireEntries(d, "match.path_prefixes", len(f.Match.PathPrefixes))
+	d.Require(len(f.claims()) <= MaxClaims, "match", "gives %d pairs of a host and a path prefix; at most %d are allowed",
+		len(f.Match.Hosts)*len(f.Match.PathPrefixes), MaxClaims)
 	for i, host := range f.Match.Hosts {
 		field := itemField("match.hosts", i)
 		d.Require(len(host) <= 253 && hostPattern.MatchString(host), field,
--- a/internal/standin/helpers_test.go
+++ b/internal/standin/helpers_test.go
@@ -137,8 +137,9 @@
 }
 
 // send forwards a request under lease 7 and epoch 10, with headers changed as
-// given, and describes the answer as "status verdict reason".
-func send(s *Server, headers ...string) (string, *Answer) {
+// given, and describes the answer as "status verdict reason", and what is
+// wrong with its id or body.
+func send(s *Server, headers ...string) string {
 	r, _ := http.NewRequest("POST", "http://"+s.Addr()+"/x//../y", strings.NewReader("body"))
 	for name, value := range map[string]string{
 		wire.HeaderRequestID: "r1", wire.HeaderService: "svc", wire.HeaderEpoch: "10", wire.HeaderLease: "7",
@@ -151,18 +152,20 @@
 	}
 	response, err := (&http.Client{Timeout: 5 * time.Second}).Do(r)
 	if err != nil {
-		return "no answer", nil
+		return "no answer"
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return "truncated", nil
+		return "truncated"
 	}
-	var answer Answer
-	_ = json.Unmarshal(body, &answer)
 	got := strconv.Itoa(response.StatusCode) + " " + response.Header.Get(verdict.Header) + " " + response.Header.Get(verdict.ReasonHeader)
 	if id := response.Header.Get(wire.HeaderRequestID); id != r.Header.Get(wire.HeaderRequestID) {
 		got += " id " + id
 	}
-	return strings.Join(strings.Fields(got), " "), &answer
+	want, _ := json.Marshal(Answer{Backend: "b1", Service: "svc", RequestID: "r1", Key: r.Header.Get("X-Key"), BodyBytes: 4})
+	if response.StatusCode == http.StatusOK && strings.TrimSpace(string(body)) != string(want) {
+		got += " body " + string(body)
+	}
+	return strings.Join(strings.Fields(got), " ")
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -34,15 +34,15 @@
 		{wire.HeaderEpoch, "x", "409 not-run bad-headers"},
 		{"X-Key", "", "409 not-run bad-headers"},
 	} {
-		if got, _ := send(checking, c.header, c.value); got != c.want {
+		if got := send(checking, c.header, c.value); got != c.want {
 			t.Errorf("%s: %s: checking server answers %q, want %q", c.header, c.value, got, c.want)
 		}
-		if got, _ := send(trusting, c.header, c.value); got != "200 answered" {
+		if got := send(trusting, c.header, c.value); got != "200 answered" {
 			t.Errorf("%s: %s: server without checks answers %q", c.header, c.value, got)
 		}
 	}
 	clockOfChecking.Advance(time.Second)
-	got, _ := send(checking, wire.HeaderStartBy, "5000")
+	got := send(checking, wire.HeaderStartBy, "5000")
 	is := is.New(t)
 	is.Equal(got, "409 not-run lease-lapsed")
 	is.Equal(len(checking.Executions()), 2) // the two requests that were answered
@@ -86,18 +86,20 @@
 	for _, checks := range []bool{true, false} {
 		var s *Server
 		var fake *clock.Fake
-		lose := map[string]func(){
-			"503 may-have-run lease-lapsed": func() { fake.Advance(time.Second) },
-			"503 may-have-run stale-epoch":  func() { sendOrder(s, func(o *wire.Order) { o.Epoch = 11; o.Slices = nil }) },
+		lose := map[string]func(context.Context){
+			"504 may-have-run deadline":     func(ctx context.Context) { <-ctx.Done() },
+			"503 may-have-run lease-lapsed": func(context.Context) { fake.Advance(time.Second) },
+			"503 may-have-run stale-epoch":  func(context.Context) { sendOrder(s, func(o *wire.Order) { o.Epoch = 11; o.Slices = nil }) },
 		}
 		for want, during := range lose {
-			work := func(context.Context, *http.Request) error { during(); return nil }
+			work := func(ctx context.Context, _ *http.Request) error { during(ctx); return nil }
 			s, fake = start(t, Config{ChecksOrders: checks, Work: work, Entries: []string{newEntry(t, once()).addr()}})
-			got, _ := send(s)
-			if !checks {
+			late := strings.HasPrefix(want, "504")
+			if !checks && !late {
 				want = "200 answered"
 			}
-			if e := s.Executions(); got != want || len(e) != 1 || e[0].Committed == checks {
+			got := send(s, wire.HeaderDeadline, map[bool]string{true: "30", false: "60000"}[late])
+			if e := s.Executions(); got != want || len(e) != 1 || e[0].Committed != (want == "200 answered") {
 				t.Errorf("checks %t: answer %q, want %q, executions %+v", checks, got, want, e)
 			}
 		}
@@ -129,6 +131,28 @@
 	is.True(!held)
 }
 
+// Guards against a queue that overtakes, overflows or leaks the slot of one who left.
+func TestQueue(t *testing.T) {
+	is := is.New(t)
+	var c capacity
+	took, err := c.acquire(t.Context(), 1, 1)
+	is.True(took && err == nil)
+	gone, leave := context.WithCancel(t.Context())
+	left := make(chan error)
+	go func() { _, err := c.acquire(gone, 1, 1); left <- err }()
+	eventually(t, "waiting", func() bool { _, queued := c.load(); return queued == 1 })
+	took, err = c.acquire(t.Context(), 1, 1)
+	is.True(!took && err == nil) // the queue is full
+	leave()
+	is.True(<-left != nil)
+	go func() { _, err := c.acquire(t.Context(), 1, 1); left <- err }()
+	eventually(t, "waiting", func() bool { _, queued := c.load(); return queued == 1 })
+	c.release(1)
+	is.NoErr(<-left)
+	running, queued := c.load()
+	is.True(running == 1 && queued == 0)
+}
+
 // Guards against a cold server that takes more than its cold limit, and
 // against load shed without the verdict not-run.
 func TestShedsAboveCapacity(t *testing.T) {
@@ -137,21 +161,18 @@
 	s, fake := start(t, Config{Slots: 2, ColdFor: 5 * time.Second, ColdLimit: 1,
 		Work: func(ctx context.Context, _ *http.Request) error { running <- true; return await(ctx, finish) }})
 	answers := make(chan string)
-	run := func() { got, _ := send(s); answers <- got }
+	run := func() { answers <- send(s) }
 	go run()
 	<-running
-	got, _ := send(s)
-	is.Equal(got, "503 not-run cold")
+	is.Equal(send(s), "503 not-run cold")
 	fake.Advance(5 * time.Second)
 	go run()
 	<-running
-	got, _ = send(s)
-	is.Equal(got, "503 not-run shed")
+	is.Equal(send(s), "503 not-run shed")
 	s.TurnCold(time.Second)
 	finish <- true
 	is.Equal(<-answers, "200 answered")
-	got, _ = send(s)
-	is.Equal(got, "503 not-run cold")
+	is.Equal(send(s), "503 not-run cold")
 	finish <- true
 	is.Equal(<-answers, "200 answered")
 	is.Equal(s.Stats(), Stats{Started: 2, Committed: 2, Shed: 3, ShedCold: 2, Orders: 1, PeakInWork: 2})
@@ -184,20 +205,20 @@
 		status := decode(nil)(http.Post("http://"+s.Addr()+ControlPath, "application/json", strings.NewReader(body)))
 		is.Equal(status, http.StatusNoContent)
 	}
+	foreign := `200 answered id foreign-r1 body {"backend":"b1","service":"svc","request_id":"foreign-r1","key":"` + keyIn(true) + `","body_bytes":4}`
 	for body, want := range map[string]string{
 		`{"lose_answers":true}`: "no answer", `{"truncate_answers":true}`: "truncated",
-		`{"foreign_ids":true}`: "200 answered id foreign-r1", `{"turn_cold_ms":60000}`: "200 answered",
+		`{"foreign_ids":true}`: foreign, `{"turn_cold_ms":60000}`: "200 answered",
 	} {
 		control(body)
-		got, _ := send(s)
-		is.Equal(got, want)
+		is.Equal(send(s), want)
 	}
 	is.Equal(s.Stats().Committed, 4) // lost and truncated answers belong to executed requests
 	_, cold := s.limit()
 	is.True(cold)
 	control(`{"freeze":true}`)
 	answers := make(chan string, 1)
-	go func() { sendOrder(s, nil); got, _ := send(s); answers <- got }()
+	go func() { sendOrder(s, nil); answers <- send(s) }()
 	heard, _ := entry.heardSoFar()
 	eventually(t, "the arrival of the request", func() bool { return s.gate.waiting.Load() == 2 }) // and an announcement
 	frozen, _ := entry.heardSoFar()
@@ -236,7 +257,7 @@
 	s, _ := start(t, Config{Entries: []string{entry.addr()}, RecordFile: path, ChecksOrders: true,
 		Work: func(ctx context.Context, _ *http.Request) error { running <- true; return await(ctx, finish) }})
 	answers := make(chan string, 1)
-	go func() { got, _ := send(s); answers <- got }()
+	go func() { answers <- send(s) }()
 	<-running
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(t.Context()) }()
