--- a/internal/replication/chaos_test.go
+++ b/internal/replication/chaos_test.go
@@ -131,36 +131,32 @@
 			return
 		}
 	}
-	s.fatalf("the healed group did not settle; %d membership changes are left", len(s.plan))
+	s.failIf(true, "the healed group did not settle; %d membership changes are left", len(s.plan))
 }
 
 // checkHistory verifies that all replicas have the same state, that it holds
 // every acknowledged command and no refused one, and that the history of
 // commands and reads is linearizable.
 func (s *sim) checkHistory() {
-	final := *s.hosts[0].state
+	final := s.hosts[0].state.commands
 	for _, h := range s.hosts {
-		if s.checkLogMatching(h, s.hosts[0]); !slices.Equal(*h.state, final) {
-			s.fatalf("states of %s and %s differ", h.name, s.hosts[0].name)
-		}
+		s.checkLogMatching(h, s.hosts[0])
+		s.failIf(!slices.Equal(h.state.commands, final), "states of %s and %s differ", h.name, s.hosts[0].name)
 	}
 	var ops []porcupine.Operation
 	for _, c := range s.history {
 		op := porcupine.Operation{Input: c.kind, Call: c.from, Output: c.count, Return: c.to}
 		at := slices.Index(final, string(c.data)) + 1
-		switch unknown := c.out.err == ErrOutcomeUnknown; {
-		case c.kind == requestPropose && unknown && at > 0:
+		unknown, command := c.out.err == ErrOutcomeUnknown, c.kind == requestPropose
+		s.failIf(command && !unknown && (at > 0) != (c.out.err == nil), "command %q has outcome %v, but position %d", c.data, c.out.err, at)
+		if command && unknown && at > 0 {
 			op.Output, op.Return = at, math.MaxInt64
-		case c.kind == requestPropose && !unknown && (at > 0) != (c.out.err == nil):
-			s.fatalf("command %q has outcome %v, but position %d", c.data, c.out.err, at)
-		case c.kind != requestPropose && c.kind != requestRead || c.out.err != nil:
-			continue
 		}
-		ops = append(ops, op)
-	}
-	if !porcupine.CheckOperations(counterModel, ops) {
-		s.fatalf("history of %d operations is not linearizable", len(ops))
+		if command && at > 0 || c.kind == requestRead && c.out.err == nil {
+			ops = append(ops, op)
+		}
 	}
+	s.failIf(!porcupine.CheckOperations(counterModel, ops), "history of %d operations is not linearizable", len(ops))
 }
 
 // counterModel counts commands; commands and reads return the count.
@@ -211,17 +207,15 @@
 			}
 			s.run(3 * time.Second)
 			s.heal()
-			if now := s.leader(); now != l || l.driver.core.term != term {
-				s.fatalf("seed %d: %s led term %d, now %s leads term %d", seed, l.name, term, now.name, now.driver.core.term)
-			}
+			now := s.leader()
+			s.failIf(now != l || l.driver.core.term != term, "seed %d: %s led term %d, now %s leads term %d", seed, l.name, term, now.name, now.driver.core.term)
 		}
 		for _, h := range s.hosts {
 			s.cuts[[2]string{h.name, l.name}] = h != l
 		}
 		s.run(3 * time.Second)
-		if now := s.leader(); now == l || now.driver.core.role != leader {
-			s.fatalf("seed %d: no other replica leads although %s gets no answers", seed, l.name)
-		}
+		now := s.leader()
+		s.failIf(now == l || now.driver.core.role != leader, "seed %d: no other replica leads although %s gets no answers", seed, l.name)
 	}
 }
 
@@ -238,8 +232,7 @@
 			l.crash()
 		}
 	}
-	if c := wiped.driver.core; c.log.lastIndex() > 0 || c.term > 0 {
-		s.fatalf("the wiped replica reached entry %d and term %d", c.log.lastIndex(), c.term)
-	}
+	c := wiped.driver.core
+	s.failIf(c.log.lastIndex() > 0 || c.term > 0, "the wiped replica reached entry %d and term %d", c.log.lastIndex(), c.term)
 	s.heal() // admits it as a learner, promotes it and removes the old one
 }
--- a/internal/replication/config.go
+++ b/internal/replication/config.go
@@ -43,7 +43,7 @@
 	Transport    Transport
 	StateMachine StateMachine
 	Clock        clock.Clock
-	// SnapshotEvery is the number of applied entries between snapshots.
+	// SnapshotEvery is the least number of applied entries between snapshots.
 	SnapshotEvery uint64
 	// OnLeaderChange is called from the node's goroutine when the known leader
 	// or the term changes. It must not block or call the node, except Status.
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -10,6 +10,7 @@
 const (
 	// maxAppendBytes is the limit of the entries in one append message, so that a
 	// follower that is far behind does not delay heartbeats on the connection.
+	// Snapshots are sent in parts of this size for the same reason.
 	maxAppendBytes = 1 << 20
 	// maxInflightEntries bounds the entries sent to a follower ahead of its
 	// acknowledgements.
@@ -66,7 +67,7 @@
 
 	log       *memoryLog
 	snapshot  Snapshot
-	maxAppend int // bytes of entries in one append message
+	maxAppend int // bytes of entries or of a snapshot in one message
 	commit    uint64
 	handed    uint64 // last committed entry that Ready returned
 
@@ -85,6 +86,7 @@
 	transfer *transfer
 
 	saved    HardState // as of the last Ready
+	incoming *Snapshot // received in part
 	restored *Snapshot // received and not yet returned by Ready
 	outbox   []Message
 	done     []ReadState
--- a/internal/replication/driver.go
+++ b/internal/replication/driver.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,8 @@
 	core      *Core
 	applied   uint64
 	snapshot  uint64 // index of the last saved snapshot
+	every     uint64 // entries from that snapshot to the next
+	rand      *rand.Rand
 	rounds    []roundStart
 	electedAt time.Time
 	waiters   map[uint64]waiter // by log index
@@ -27,6 +30,8 @@
 	}
 	err    error
 	status atomic.Pointer[Status]
+
+	counters counters
 }
 
 // roundStart is when a heartbeat round began on the leader's clock.
@@ -53,7 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &driver{cfg: cfg, core: core, waiters: map[uint64]waiter{}, reads: map[uint64]*request{}}
+	d := &driver{cfg: cfg, core: core, waiters: map[uint64]waiter{}, reads: map[uint64]*request{},
+		rand: rand.New(rand.NewPCG(cfg.Seed, 2))}
+	d.notified.term = core.term
+	d.scheduleSnapshot()
 	if s := state.Snapshot; s.Index > 0 {
 		if err := cfg.StateMachine.Restore(s.Index, s.Data); err != nil {
 			return nil, errors.Annotatef(err, "restoring the snapshot at index %d", s.Index)
@@ -79,6 +87,7 @@
 
 func (d *driver) step(m Message) {
 	if d.err == nil {
+		d.counters.messagesReceived.Add(1)
 		d.fail(d.core.Step(m))
 	}
 }
@@ -113,6 +122,7 @@
 }
 
 func (d *driver) sendAll(messages []Message) {
+	d.counters.messagesSent.Add(uint64(len(messages)))
 	for _, m := range messages {
 		d.cfg.Transport.Send(m)
 	}
@@ -127,6 +137,8 @@
 	if !rd.Sync {
 		return nil
 	}
+	d.counters.syncs.Add(1)
+	d.counters.entriesSynced.Add(uint64(len(rd.Entries)))
 	return d.cfg.Storage.Append(rd.HardState, rd.Entries)
 }
 
@@ -158,7 +170,9 @@
 			return
 		}
 		d.applied, d.snapshot = s.Index, s.Index
+		d.counters.snapshotsRestored.Add(1)
 	}
+	d.counters.entriesApplied.Add(uint64(len(rd.Committed)))
 	for _, e := range rd.Committed {
 		var result []byte
 		if e.Kind == EntryCommand {
@@ -181,10 +195,16 @@
 	d.maybeSnapshot()
 }
 
+// scheduleSnapshot varies the distance of snapshots by a quarter, so that the
+// replicas do not all pause for theirs at the same entry.
+func (d *driver) scheduleSnapshot() {
+	d.every = d.cfg.SnapshotEvery + d.rand.Uint64N(d.cfg.SnapshotEvery/4+1)
+}
+
 // maybeSnapshot saves the state once enough entries were applied since the last
 // snapshot. Half of that number stays in memory for followers that lag.
 func (d *driver) maybeSnapshot() {
-	if d.applied-d.snapshot < d.cfg.SnapshotEvery {
+	if d.applied-d.snapshot < d.every {
 		return
 	}
 	data, err := d.cfg.StateMachine.Snapshot()
@@ -199,6 +219,8 @@
 		return
 	}
 	d.snapshot = s.Index
+	d.scheduleSnapshot()
+	d.counters.snapshotsSaved.Add(1)
 	d.core.Compact(s, d.cfg.SnapshotEvery/2)
 }
 
@@ -209,6 +231,7 @@
 		Applied: d.applied, LastIndex: c.log.lastIndex(), Err: d.err}
 	if s.IsLeader && d.electedAt.IsZero() {
 		d.electedAt = d.cfg.Clock.Now()
+		d.counters.elections.Add(1)
 	} else if !s.IsLeader {
 		d.electedAt = time.Time{}
 	}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -24,6 +24,8 @@
 	}
 	if term > c.term {
 		c.term, c.vote = term, ""
+		// Another leader may encode the same state differently.
+		c.incoming = nil
 	}
 	c.role, c.leader, c.votes = follower, from, nil
 	c.resetTimeout()
@@ -146,6 +148,8 @@
 		c.handleAppendReply(m)
 	case MessageHeartbeatReply:
 		c.handleHeartbeatReply(m)
+	case MessageSnapshotReply:
+		c.handleSnapshotReply(m)
 	case MessageTimeoutNow:
 		if member, ok := c.member(c.cfg.ID); ok && member.Voter && c.role == follower {
 			c.resetTimeout()
--- a/internal/replication/errors.go
+++ b/internal/replication/errors.go
@@ -14,6 +14,9 @@
 	ErrProposalDropped = errors.New("replication: proposal dropped, not committed")
 	// ErrOutcomeUnknown means that the proposal may or may not be committed.
 	ErrOutcomeUnknown = errors.New("replication: outcome of the proposal is unknown")
+	// ErrTooLarge means that a command exceeds MaxCommandBytes; it is certainly
+	// not committed.
+	ErrTooLarge = fmt.Errorf("replication: command exceeds %d bytes", MaxCommandBytes)
 	// ErrChangeInProgress means that an earlier membership change is not yet
 	// committed, or that the leader has not yet committed an entry of its term.
 	ErrChangeInProgress = errors.New("replication: another membership change is in progress")
--- a/internal/replication/fakes_test.go
+++ b/internal/replication/fakes_test.go
@@ -44,27 +44,30 @@
 
 func (s *memoryStore) SaveSnapshot(snap Snapshot) error {
 	p := s.durable
-	at := snap.Index - p.Snapshot.Index
-	if at <= uint64(len(p.Entries)) && p.Entries[at-1].Term == snap.Term {
-		p.Entries = p.Entries[at:]
-	} else {
+	at := slices.IndexFunc(p.Entries, func(e Entry) bool { return e.Index == snap.Index && e.Term == snap.Term })
+	if p.Snapshot, p.Entries = snap, p.Entries[at+1:]; at < 0 {
 		p.Entries = nil
 	}
-	p.Snapshot = snap
 	return s.sync(p)
 }
 
-// journal is a state machine that keeps every command.
-type journal []string
+// journal is a state machine that keeps every command. Its snapshots begin with
+// pad separators, because replicas may encode the same state differently.
+type journal struct {
+	commands []string
+	pad      int
+}
 
 func (j *journal) Apply(_ uint64, command []byte) []byte {
-	*j = append(*j, string(command))
-	return []byte(fmt.Sprint(len(*j)))
+	j.commands = append(j.commands, string(command))
+	return []byte(fmt.Sprint(len(j.commands)))
 }
 
-func (j *journal) Snapshot() ([]byte, error) { return []byte(strings.Join(*j, "\n")), nil }
+func (j *journal) Snapshot() ([]byte, error) {
+	return []byte(strings.Repeat("\n", j.pad) + strings.Join(j.commands, "\n")), nil
+}
 
 func (j *journal) Restore(_ uint64, snapshot []byte) error {
-	*j = strings.FieldsFunc(string(snapshot), func(r rune) bool { return r == '\n' })
+	j.commands = strings.Fields(string(snapshot))
 	return nil
 }
--- a/internal/replication/follower.go
+++ b/internal/replication/follower.go
@@ -74,28 +74,3 @@
 	}
 	return nil
 }
-
-func (c *Core) handleSnapshot(m Message) error {
-	s := *m.Snapshot
-	reply := Message{Type: MessageAppendReply, To: m.From, Round: m.Round, Index: c.commit}
-	if s.Index > c.commit {
-		reply.Index = s.Index
-		if c.log.matches(s.Index, s.Term) {
-			c.commit = s.Index
-		} else if err := c.restore(s); err != nil {
-			return err
-		}
-	}
-	c.send(reply)
-	return nil
-}
-
-func (c *Core) restore(s Snapshot) error {
-	log, err := newMemoryLog(s, nil)
-	if err != nil {
-		return err
-	}
-	c.log, c.snapshot, c.restored = log, s, &s
-	c.commit, c.handed = s.Index, s.Index
-	return nil
-}
--- a/internal/replication/group_test.go
+++ b/internal/replication/group_test.go
@@ -107,6 +107,8 @@
 				g.is.True(err != nil || index >= last)
 				return err
 			})
+			_, _, err := g.node(0).Propose(ctx, make([]byte, replication.MaxCommandBytes+1))
+			g.is.Equal(err, replication.ErrTooLarge)
 			for i := range g.stores {
 				n := g.node(i)
 				g.retry(func(*replication.Node) error {
--- a/internal/replication/leader.go
+++ b/internal/replication/leader.go
@@ -8,9 +8,10 @@
 	// append at a time is sent, and paused is set while it is unanswered.
 	probing bool
 	paused  bool
-	// snapshot is the index of a snapshot that was sent and not acknowledged.
-	snapshot      uint64
-	snapshotTicks int
+	// snapshot is being sent in parts; the member has the first offset bytes.
+	snapshot      *Snapshot
+	offset        uint64
+	snapshotTicks int    // since the last part was sent
 	round         uint64 // last heartbeat that the member acknowledged
 	silent        int    // ticks since the member's last message
 }
@@ -80,10 +81,10 @@
 // probe set, it sends at least an empty append, which reveals lost messages.
 func (c *Core) replicate(to ReplicaID, probe bool) {
 	p := c.progress[to]
-	for p.snapshot == 0 && !(p.probing && p.paused) {
+	for p.snapshot == nil && !(p.probing && p.paused) {
 		term, ok := c.log.term(p.next - 1)
 		if !ok {
-			c.sendSnapshot(to, p)
+			c.startSnapshot(to, p)
 			return
 		}
 		var entries []Entry
@@ -103,12 +104,6 @@
 	}
 }
 
-func (c *Core) sendSnapshot(to ReplicaID, p *progress) {
-	s := c.snapshot
-	p.snapshot, p.snapshotTicks = s.Index, 0
-	c.send(Message{Type: MessageSnapshot, To: to, Round: c.round, Snapshot: &s})
-}
-
 func (c *Core) handleAppendReply(m Message) {
 	p := c.heard(m)
 	if p == nil || m.Index > c.log.lastIndex() {
@@ -123,8 +118,8 @@
 		c.replicate(m.From, true)
 		return
 	}
-	if p.snapshot > 0 && m.Index >= p.snapshot {
-		p.snapshot = 0
+	if p.snapshot != nil && m.Index >= p.snapshot.Index {
+		p.snapshot = nil
 		p.next = m.Index + 1
 	}
 	if m.Index < p.match {
@@ -186,11 +181,7 @@
 			continue
 		}
 		p.silent++
-		if p.snapshot > 0 {
-			if p.snapshotTicks++; p.snapshotTicks >= c.cfg.ElectionTicksMax {
-				p.snapshot, p.next, p.probing, p.paused = 0, p.match+1, true, false
-			}
-		}
+		c.tickSnapshot(id, p)
 	}
 	if !c.quorumAnswers(c.members()) {
 		c.becomeFollower(c.term, "")
--- a/internal/replication/message.go
+++ b/internal/replication/message.go
@@ -20,8 +20,13 @@
 	MessageHeartbeatReply
 	MessageSnapshot
 	MessageTimeoutNow
+	MessageSnapshotReply
 )
 
+// maxSnapshotBytes bounds the state that a snapshot may announce, so that a
+// wrong size is noticed before memory is taken for it.
+const maxSnapshotBytes = 1 << 30
+
 // Message is sent from one replica to another. The meaning of the fields
 // depends on the type.
 type Message struct {
@@ -41,9 +46,14 @@
 	// Hint is the index that a rejecting follower suggests to continue after.
 	Hint uint64 `msgpack:"h,omitempty"`
 	// Transfer marks a vote request made at the wish of the leader.
-	Transfer bool      `msgpack:"n,omitempty"`
-	Entries  []Entry   `msgpack:"e,omitempty"`
+	Transfer bool    `msgpack:"n,omitempty"`
+	Entries  []Entry `msgpack:"e,omitempty"`
+	// Snapshot carries a part of the state in Data, which begins at Offset and
+	// belongs to Size bytes in all. A snapshot reply returns the offset that
+	// the follower expects next.
 	Snapshot *Snapshot `msgpack:"s,omitempty"`
+	Offset   uint64    `msgpack:"p,omitempty"`
+	Size     uint64    `msgpack:"z,omitempty"`
 }
 
 // Encode returns the message in msgpack.
@@ -62,7 +72,7 @@
 }
 
 func (m Message) validate() error {
-	if m.Type < MessagePreVote || m.Type > MessageTimeoutNow {
+	if m.Type < MessagePreVote || m.Type > MessageSnapshotReply {
 		return fmt.Errorf("replication: unknown message type %d", m.Type)
 	}
 	if (m.Type == MessageSnapshot) != (m.Snapshot != nil) {
@@ -71,6 +81,9 @@
 	if m.Snapshot != nil && (m.Snapshot.Index == 0 || len(m.Snapshot.Members) == 0) {
 		return errors.New("replication: snapshot without index or members")
 	}
+	if m.Snapshot != nil && (m.Size > maxSnapshotBytes || m.Offset > m.Size || uint64(len(m.Snapshot.Data)) > m.Size-m.Offset) {
+		return fmt.Errorf("replication: snapshot part of %d bytes at %d exceeds the size of %d", len(m.Snapshot.Data), m.Offset, m.Size)
+	}
 	return CheckEntries(m.Index, m.Entries)
 }
 
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -14,6 +14,11 @@
 	// maxBatch bounds the requests and messages taken in one go, so that ticks
 	// are not delayed without limit.
 	maxBatch = 1024
+	// maxBatchBytes bounds the commands and entries taken in one go, which are
+	// stored as one record.
+	maxBatchBytes = 8 << 20
+	// MaxCommandBytes is the largest command that can be proposed.
+	MaxCommandBytes = 4 << 20
 )
 
 // Node runs one replica. One goroutine owns the protocol state and calls the
@@ -58,8 +63,7 @@
 		case <-ticks:
 			n.driver.tick()
 		case m := <-n.inbox:
-			n.driver.step(m)
-			n.drainInbox()
+			n.drainInbox(m)
 		case req := <-n.requests:
 			n.driver.accept(n.drainRequests(req))
 		}
@@ -67,11 +71,18 @@
 	}
 }
 
-func (n *Node) drainInbox() {
+func (n *Node) drainInbox(m Message) {
+	size := 0
 	for range maxBatch {
+		n.driver.step(m)
+		for _, e := range m.Entries {
+			size += len(e.Data)
+		}
+		if size >= maxBatchBytes {
+			return
+		}
 		select {
-		case m := <-n.inbox:
-			n.driver.step(m)
+		case m = <-n.inbox:
 		default:
 			return
 		}
@@ -79,11 +90,11 @@
 }
 
 func (n *Node) drainRequests(first *request) []*request {
-	batch := []*request{first}
-	for len(batch) < maxBatch {
+	batch, size := []*request{first}, len(first.data)
+	for len(batch) < maxBatch && size < maxBatchBytes {
 		select {
 		case req := <-n.requests:
-			batch = append(batch, req)
+			batch, size = append(batch, req), size+len(req.data)
 		default:
 			return batch
 		}
@@ -123,9 +134,12 @@
 }
 
 // Propose commits a command and returns its index and the result of applying
-// it. ErrNotLeader, ErrStopped and ErrProposalDropped mean that it is certainly
-// not committed; ErrOutcomeUnknown means that it may be.
+// it. ErrNotLeader, ErrStopped, ErrProposalDropped and ErrTooLarge mean that it is
+// certainly not committed; ErrOutcomeUnknown means that it may be.
 func (n *Node) Propose(ctx context.Context, command []byte) (uint64, []byte, error) {
+	if len(command) > MaxCommandBytes {
+		return 0, nil, ErrTooLarge
+	}
 	req := newRequest(ctx, requestPropose)
 	req.data = command
 	o := n.do(req, ErrProposalDropped, ErrOutcomeUnknown)
@@ -173,6 +187,7 @@
 	select {
 	case n.inbox <- m:
 	default:
+		n.driver.counters.messagesOverflowing.Add(1)
 	}
 }
 
--- a/internal/replication/request.go
+++ b/internal/replication/request.go
@@ -75,6 +75,11 @@
 		commands[i] = req.data
 	}
 	first, err := d.core.Propose(commands...)
+	if err != nil {
+		d.counters.dropped.Add(uint64(len(batch)))
+	} else {
+		d.counters.proposals.Add(uint64(len(batch)))
+	}
 	for i, req := range batch {
 		if err != nil {
 			req.fail(err)
@@ -134,6 +139,7 @@
 		refused = stoppedBy(d.err)
 	}
 	for index, w := range d.waiters {
+		d.counters.unknown.Add(1)
 		w.req.fail(ErrOutcomeUnknown)
 		delete(d.waiters, index)
 	}
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -23,7 +23,7 @@
 	cuts           map[[2]string]bool
 	loss           float64
 	idle           bool
-	tight          bool                 // short delays and timeouts, so that leases follow each other closely
+	spread         int                  // of delays; 1 also makes timeouts short, so that leases follow each other closely
 	committed      map[uint64]observed  // as first seen on any replica
 	top            uint64               // highest committed index
 	leaders        map[uint64]ReplicaID // by term
@@ -63,11 +63,11 @@
 
 func newSim(t *testing.T, seed uint64, size int) *sim {
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), network: map[time.Duration][]Message{}, cuts: map[[2]string]bool{},
-		committed: map[uint64]observed{}, leaders: map[uint64]ReplicaID{}, admitted: map[ReplicaID]bool{}, tight: seed%3 == 0}
+		committed: map[uint64]observed{}, leaders: map[uint64]ReplicaID{}, admitted: map[ReplicaID]bool{}, spread: 1 + 5*min(1, int(seed%3))}
 	var members []Member
 	for i := range size {
 		h := &simHost{s: s, name: fmt.Sprint("h", i), rate: 1 + simDrift*float64(i%3-1), store: newMemoryStore(fmt.Sprint("h", i), "0")}
-		if s.tight && i > 0 {
+		if s.spread == 1 && i > 0 {
 			h.rate = 1 + simDrift
 		}
 		s.hosts, members = append(s.hosts, h), append(members, Member{ID: h.id(), Voter: true})
@@ -82,9 +82,10 @@
 	return s
 }
 
-func (s *sim) fatalf(format string, args ...any) {
-	s.t.Helper()
-	s.t.Fatalf("%v: %s", s.now, fmt.Sprintf(format, args...))
+func (s *sim) failIf(failed bool, format string, args ...any) {
+	if s.t.Helper(); failed {
+		s.t.Fatalf("%v: %s", s.now, fmt.Sprintf(format, args...))
+	}
 }
 
 func (h *simHost) id() ReplicaID { return h.store.identity.ID() }
@@ -97,18 +98,11 @@
 // Send implements Transport.
 func (h *simHost) Send(m Message) {
 	s, p := h.s, h.store.durable
-	if (m.Type == MessageVoteReply || m.Type == MessagePreVoteReply) && !m.Reject && !s.admitted[m.From] {
-		s.fatalf("%s voted before it was promoted", m.From)
-	}
+	s.failIf((m.Type == MessageVoteReply || m.Type == MessagePreVoteReply) && !m.Reject && !s.admitted[m.From], "%s voted before it was promoted", m.From)
 	last := p.Snapshot.Index + uint64(len(p.Entries))
-	if !m.Reject && (m.Type == MessageVoteReply && p.HardState.Vote != m.To || m.Type == MessageAppendReply && last < m.Index) {
-		s.fatalf("%s sent %+v before it was durable", h.name, m)
-	}
+	s.failIf(!m.Reject && (m.Type == MessageVoteReply && p.HardState.Vote != m.To || m.Type == MessageAppendReply && last < m.Index), "%s sent %+v before it was durable", h.name, m)
 	for range 1 + s.rng.IntN(33)/32 {
-		delay := 1
-		if !s.tight {
-			delay += s.rng.IntN(6)
-		}
+		delay := 1 + s.rng.IntN(s.spread)
 		if s.loss > 0 && s.rng.IntN(20) == 0 {
 			delay += s.rng.IntN(500)
 		}
@@ -119,17 +113,17 @@
 }
 
 func (h *simHost) start() {
-	h.state, h.seen, h.store.failSync, h.store.failed = &journal{}, 0, false, false
+	h.state, h.seen, h.store.failSync, h.store.failed = &journal{pad: h.s.rng.IntN(50)}, 0, false, false
 	cfg := Config{GroupID: "g", Seed: h.s.rng.Uint64(), Storage: h.store, Transport: h, StateMachine: h.state,
 		Clock: h, MaxClockDrift: simDrift, SnapshotEvery: 30}
-	if h.s.tight {
+	if h.s.spread == 1 {
 		cfg.ElectionTicksMax = DefaultElectionTicksMin + 1
 	}
 	d, err := newDriver(cfg)
 	if err != nil {
 		h.s.t.Fatal(err)
 	}
-	d.core.maxAppend = 100
+	d.core.maxAppend = 200
 	h.driver, h.nextTick = d, h.s.now+time.Duration(h.s.rng.IntN(int(DefaultTick)))
 }
 
@@ -169,11 +163,10 @@
 // run lets the driver work and checks what it did.
 func (h *simHost) run() {
 	h.driver.process()
-	if err := h.driver.err; errors.Is(err, errDisk) {
+	if err := h.driver.err; err != nil {
+		h.s.failIf(!errors.Is(err, errDisk), "%s: %v", h.name, err)
 		h.crash()
 		return
-	} else if err != nil {
-		h.s.fatalf("%s: %v", h.name, err)
 	}
 	h.checkCommitted()
 	if st := h.driver.currentStatus(); st.IsLeader {
@@ -187,11 +180,12 @@
 	for h.seen = max(h.seen, c.log.baseIndex); h.seen < c.commit; h.seen++ {
 		e := c.log.entries[h.seen-c.log.baseIndex]
 		s.top = max(s.top, e.Index)
-		if known, ok := s.committed[e.Index]; !ok {
-			s.committed[e.Index] = observed{e, c.term}
-		} else if known.Term != e.Term || string(known.Data) != string(e.Data) {
-			s.fatalf("%s committed %v, another replica committed %v", h.name, e, known)
+		known, ok := s.committed[e.Index]
+		if !ok {
+			known = observed{e, c.term}
+			s.committed[e.Index] = known
 		}
+		s.failIf(known.Term != e.Term || string(known.Data) != string(e.Data), "%s committed %v, another replica committed %v", h.name, e, known)
 	}
 }
 
@@ -200,22 +194,16 @@
 // applied everything that was committed.
 func (h *simHost) checkLeader(st Status) {
 	s, c := h.s, h.driver.core
-	if !st.LeaseUntil.IsZero() && st.Applied < s.top {
-		s.fatalf("%s has a lease but applied only %d of %d committed entries", h.name, st.Applied, s.top)
-	}
+	s.failIf(!st.LeaseUntil.IsZero() && st.Applied < s.top, "%s has a lease but applied only %d of %d committed entries", h.name, st.Applied, s.top)
 	if st.LeaseUntil.After(h.lease) {
 		h.lease = st.LeaseUntil
 	}
-	if known, ok := s.leaders[st.Term]; ok && known != h.id() {
-		s.fatalf("%s and %s both lead term %d", known, h.id(), st.Term)
-	} else if ok {
-		return
-	}
+	first, known := s.leaders[st.Term]
+	s.failIf(known && first != h.id(), "%s and %s both lead term %d", first, h.id(), st.Term)
 	s.leaders[st.Term] = h.id()
-	for i := c.log.baseIndex + 1; i <= s.top; i++ {
-		if o, ok := s.committed[i]; ok && o.seenTerm < st.Term && !c.log.matches(i, o.Term) {
-			s.fatalf("leader %s of term %d lacks committed entry %d", h.name, st.Term, i)
-		}
+	for i := c.log.baseIndex + 1; !known && i <= s.top; i++ {
+		o, ok := s.committed[i]
+		s.failIf(ok && o.seenTerm < st.Term && !c.log.matches(i, o.Term), "leader %s of term %d lacks committed entry %d", h.name, st.Term, i)
 	}
 }
 
@@ -225,9 +213,7 @@
 	holder := ""
 	for _, h := range s.hosts {
 		if h.lease.After(h.Now()) {
-			if holder != "" {
-				s.fatalf("%s and %s both hold a lease", holder, h.name)
-			}
+			s.failIf(holder != "", "%s and %s both hold a lease", holder, h.name)
 			holder = h.name
 		}
 	}
@@ -239,9 +225,7 @@
 	for i := min(x.lastIndex(), y.lastIndex()); i > max(x.baseIndex, y.baseIndex); i-- {
 		e, f := x.entries[i-x.baseIndex-1], y.entries[i-y.baseIndex-1]
 		same := e.Term == f.Term && string(e.Data) == string(f.Data)
-		if !same && (agree || e.Term == f.Term) {
-			s.fatalf("logs of %s and %s disagree at %d", a.name, b.name, i)
-		}
+		s.failIf(!same && (agree || e.Term == f.Term), "logs of %s and %s disagree at %d", a.name, b.name, i)
 		agree = same
 	}
 }
@@ -270,7 +254,7 @@
 		return c.host.driver != c.driver
 	}
 	c.host.s.clock++
-	c.to, c.count = c.host.s.clock, len(*c.host.state)
+	c.to, c.count = c.host.s.clock, len(c.host.state.commands)
 	fmt.Sscan(string(c.out.result), &c.count)
 	return true
 }
