Test fleet and ownership on their own

Change: spread of dispatcher roles, incarnations, drains and bounds of the fleet; coverage of all hashes after splits, and moves whose target goes.

Ruled out: two expectations of the first draft were wrong and were replaced: a greedy choice within data centres gives one host 11 of 60 roles on 6 hosts, not 10; and a move whose target is lost may go to any available server.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+func join(t *testing.T, f *Fleet, i int, index uint64) {
+	t.Helper()
+	err := f.JoinHost(&command.HostJoined{Host: fmt.Sprint("h", i), DataCentre: fmt.Sprint("dc", i%3), Instance: "a",
+		PeerAddress: fmt.Sprintf("127.0.0.%d:1", i), RelayAddress: fmt.Sprintf("127.0.0.%d:2", i)}, index)
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func announcement(i int, incarnation string) *command.BackendAnnounced {
+	return &command.BackendAnnounced{Backend: fmt.Sprint("b", i), Service: "s", Incarnation: incarnation,
+		DataCentre: fmt.Sprint("dc", i%3), Address: fmt.Sprintf("127.0.1.%d:80", i), Slots: 2}
+}
+
+// full returns a fleet of 6 hosts and 30 backend servers in 3 data centres.
+func full(t *testing.T) *Fleet {
+	f := New()
+	for i := range 6 {
+		join(t, f, i, uint64(i+1))
+	}
+	for i := range 30 {
+		if _, err := f.Announce(announcement(i, "i1"), uint64(i+10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return f
+}
+
+// Guards against dispatchers in another data centre, standbys next to their
+// dispatcher, and roles heaped on few hosts, at first and after losses and joins.
+func TestDispatchersAreSpread(t *testing.T) {
+	f := full(t)
+	check := func(most int) {
+		t.Helper()
+		r := f.countRoles()
+		for _, h := range r.hosts {
+			if n := r.total(h); n > most {
+				t.Errorf("%s has %d roles", h.Name, n)
+			}
+		}
+		for _, b := range f.backends {
+			if f.Host(b.StandbyDispatcher).DataCentre == f.Host(b.Dispatcher).DataCentre {
+				t.Errorf("%s has both dispatchers in one data centre", b.Name)
+			}
+		}
+	}
+	check(11) // 60 roles on 6 hosts; data centres limit the choice
+	for _, b := range f.backends {
+		if f.Host(b.Dispatcher).DataCentre != b.DataCentre {
+			t.Errorf("%s has its dispatcher in another data centre", b.Name)
+		}
+	}
+	is := is.New(t)
+	standbys := map[string]string{}
+	for ref, b := range f.backends {
+		if b.Dispatcher == "h0" {
+			standbys[ref.Name] = b.StandbyDispatcher
+		}
+	}
+	is.Equal(len(standbys), 5)
+	is.NoErr(f.LoseHost(&command.HostLost{Host: "h0"}, 100))
+	for name, want := range standbys {
+		is.Equal(f.backends[table.BackendRef{Service: "s", Name: name}].Dispatcher, want)
+	}
+	check(15) // 60 roles on 5 hosts are 12; standbys stay where they are
+	join(t, f, 0, 101)
+	if n := f.countRoles().total(f.Host("h0")); n < 5 {
+		t.Errorf("the host that joined again has %d roles", n)
+	}
+	check(13)
+}
+
+// Guards against an older incarnation that replaces a living newer one, against
+// two living processes with one name or one address, and against refusing the
+// ones that must be let in.
+func TestIncarnations(t *testing.T) {
+	is := is.New(t)
+	f := full(t)
+	ref := table.BackendRef{Service: "s", Name: "b1"}
+	replaced, err := f.Announce(announcement(1, "i2"), 50)
+	is.NoErr(err)
+	is.True(replaced)
+	_, err = f.Announce(announcement(1, "i1"), 51)
+	is.True(errors.Is(err, ErrStale)) // older
+	is.Equal(f.Backend(ref).Incarnation, "i2")
+	is.True(errors.Is(f.LoseBackend(ref, "i1", 52), ErrStale)) // a late report about the older one
+	moved := announcement(1, "i3")
+	moved.Address = "127.0.1.99:80"
+	_, err = f.Announce(moved, 53)
+	is.True(errors.Is(err, ErrInvalid)) // i2 may hold a lease at its address
+	is.NoErr(f.LoseBackend(ref, "i2", 54))
+	replaced, err = f.Announce(moved, 55)
+	is.NoErr(err)
+	is.True(!replaced)
+	is.NoErr(f.LoseBackend(ref, "i3", 56))
+	_, err = f.Announce(announcement(1, "i1"), 57)
+	is.NoErr(err) // the newer ones are gone
+	for i := range 2 * maxPast {
+		_, err = f.Announce(announcement(1, fmt.Sprint("n", i)), uint64(60+i))
+		is.NoErr(err)
+	}
+	is.Equal(len(f.Backend(ref).Past), maxPast) // bounded
+}
+
+// Guards against a drain flag that is forgotten by a new incarnation, a joining
+// host or the restore of only one of two drains, and against records that grow
+// without bound.
+func TestDrainsAndBounds(t *testing.T) {
+	is := is.New(t)
+	f := full(t)
+	set := func(kind command.DrainKind, name string, out bool) {
+		d := &command.Drain{RequestID: "r", Kind: kind, Name: name, Out: out}
+		version, repeat, err := f.CheckDrain(d)
+		is.NoErr(err)
+		is.True(!repeat)
+		f.SetDrain(Drain{DrainKey: DrainKey{kind, name}, Out: out, Version: version})
+	}
+	ref := table.BackendRef{Service: "s", Name: "b1"}
+	set(command.DrainDataCentre, "dc1", true)
+	set(command.DrainBackend, "s/b1", true)
+	_, err := f.Announce(announcement(1, "i2"), 50)
+	is.NoErr(err)
+	is.NoErr(f.LoseHost(&command.HostLost{Host: "h1"}, 51))
+	join(t, f, 1, 52)
+	is.True(f.Backend(ref).Draining && f.Host("h1").Draining)
+	is.Equal(len(f.Available("s")), 20)
+	set(command.DrainDataCentre, "dc1", false)
+	is.True(f.Backend(ref).Draining && !f.Host("h1").Draining)
+	is.Equal(len(f.Available("s")), 29)
+	set(command.DrainBackend, "s/b1", false)
+	is.Equal(len(f.Available("s")), 30)
+	for i := range maxAbsent {
+		ref := table.BackendRef{Service: "s", Name: fmt.Sprint("lost", i)}
+		f.backends[ref] = &Backend{LostAt: uint64(100 + i), Backend: table.Backend{Service: "s", Name: ref.Name, Lost: true}}
+	}
+	is.NoErr(f.LoseBackend(ref, "i2", 9000))
+	is.Equal(len(f.backends), 30+maxAbsent-1)
+	is.Equal(f.Backend(table.BackendRef{Service: "s", Name: "lost0"}), nil) // lost first
+}
--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,81 @@
+package ownership
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/placement"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// servers is a fleet; all of them are alive.
+type servers []placement.Server
+
+func (f servers) Available(string) []placement.Server { return slices.Clone(f) }
+
+func (f servers) Alive(ref table.BackendRef) bool { return contains(f, ref.Name) }
+
+var three = servers{{Name: "a", DataCentre: "1"}, {Name: "b", DataCentre: "2"}, {Name: "c", DataCentre: "3"}}
+
+// Guards against slices that leave a gap or overlap, for any number of them and
+// any splits, and against a split that changes who owns a hash.
+func TestSlicesCoverAllHashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New("s", rapid.IntRange(-1, 3000).Draw(t, "count"))
+		s.Reassign(three, 1)
+		before := slices.Clone(s.list)
+		hashes := rapid.SliceOfN(rapid.OneOf(rapid.Uint64(), rapid.SampledFrom([]uint64{0, 1, math.MaxUint64})), 1, 20).Draw(t, "hashes")
+		if _, err := s.Split(hashes); err != nil {
+			t.Fatal(err)
+		}
+		for i, e := range s.list {
+			if (i == 0) != (e.Start == 0) || (i > 0 && e.Start <= s.list[i-1].Start) {
+				t.Fatalf("slice %d starts at %x", i, e.Start)
+			}
+		}
+		for _, h := range hashes {
+			i, ok := s.find(h)
+			if !ok || (h != math.MaxUint64 && s.list[i+1].Start != h+1) {
+				t.Fatalf("%x is not a slice of its own", h)
+			}
+			k, found := slices.BinarySearchFunc(before, h, func(e table.Slice, h uint64) int {
+				if e.Start > h {
+					return 1
+				}
+				return -1
+			})
+			if found || before[k-1].Owner != s.list[i].Owner {
+				t.Fatalf("%x went from %s to %s", h, before[k-1].Owner, s.list[i].Owner)
+			}
+		}
+	})
+}
+
+// Guards against a move whose target is lost or taken out and that ends there all
+// the same, and against a move that never ends because no server is left.
+func TestMoveWhoseTargetGoes(t *testing.T) {
+	is := is.New(t)
+	s := New("s", 1)
+	s.Reassign(three, 1)
+	is.Equal(s.list[0].Owner, "a")
+	_, err := s.Move([]command.SliceMove{{Start: 0, Epoch: 1, To: "b"}}, three, 2)
+	is.NoErr(err)
+	s.Promote(servers{three[0], three[2]}, 3) // b is lost
+	is.True(contains(servers{three[0], three[2]}, s.list[0].Next))
+	s.Reassign(servers{three[0]}, 4) // c too: back to a, which must release all the same
+	is.Equal(s.list[0].State, table.SliceReleasing)
+	is.Equal(s.list[0].Next, "a")
+	release := &command.Released{Service: "s", Backend: "a", Starts: []uint64{0}, Epochs: []uint64{1}}
+	_, err = s.Release(release, 5)
+	is.NoErr(err)
+	is.Equal(s.list[0], table.Slice{Owner: "a", Epoch: 5, State: table.SliceOwned})
+	s.Promote(servers{}, 6) // nobody is left
+	is.Equal(s.list[0].State, table.SliceUnowned)
+	s.Repair(three, 7) // served again as soon as somebody is back
+	is.True(s.list[0].State == table.SliceOwned && s.list[0].Epoch == 7 && s.list[0].Standby != "")
+}
