--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -12,24 +12,28 @@
 	maxHistory = 1024
 	// maxHistorySlices bounds the slice changes that are kept. Beyond it, a
 	// snapshot is hardly larger than the deltas, and the deltas of a table of
-	// 460,000 slices would take ten times the memory of the table.
+	// 460,000 slices would take several times the memory of the table.
 	maxHistorySlices = 1 << 18
 )
 
-// history keeps the last deltas and the encoded answers for the current revision.
+// history keeps the last deltas and encoded answers. Nothing is encoded under its
+// lock, because Apply takes it too: a snapshot of 460,000 slices takes 0.2 s.
 type history struct {
 	mu       sync.Mutex
 	deltas   []*table.Delta // consecutive
 	slices   int
 	revision uint64
 	answers  map[uint64][]byte // encoded deltas to revision, by base
-	snapshot []byte            // encoded table of revision
+
+	encoding   sync.Mutex // held while a snapshot is encoded, so that it is done once
+	snapshot   []byte
+	snapshotAt uint64 // revision of snapshot
 }
 
 func newHistory() *history { return &history{answers: map[uint64][]byte{}} }
 
-// add records the delta that led to next.
-func (h *history) add(d *table.Delta, next *table.Table) {
+// add records the delta that led to the next revision.
+func (h *history) add(d *table.Delta) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.deltas = append(h.deltas, d)
@@ -39,72 +43,94 @@
 		h.slices -= h.deltas[drop].SliceCount()
 		drop++
 	}
-	if drop > 0 {
-		// Copying every time would cost a kilobyte-sized copy per command; append
-		// reallocates once per capacity instead and frees the dropped ones then.
-		clear(h.deltas[:drop])
-		h.deltas = h.deltas[drop:]
-	}
-	h.renew(next.Revision())
+	clear(h.deltas[:drop]) // the array is reallocated by a later append only
+	h.deltas = h.deltas[drop:]
+	h.renew(d.Revision)
 }
 
-// reset forgets all deltas, after a restored snapshot.
-func (h *history) reset(t *table.Table) {
+// reset forgets everything, after a restored snapshot.
+func (h *history) reset(revision uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.deltas, h.slices = nil, 0
-	h.renew(t.Revision())
+	h.snapshot, h.snapshotAt = nil, 0
+	h.renew(revision)
 }
 
 func (h *history) renew(revision uint64) {
-	h.revision, h.snapshot = revision, nil
+	h.revision = revision
 	clear(h.answers)
 }
 
-// changes returns the encoded way from revision since to t, the current table.
+// changes returns the encoded way from revision since to t, the current table, or
+// to a somewhat older one from which a delta leads on.
 func (h *history) changes(since uint64, t *table.Table) (delta, snapshot []byte, revision uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if since >= t.Revision() {
 		return nil, nil, t.Revision()
 	}
 	if delta := h.delta(since, t.Revision()); delta != nil {
 		return delta, nil, t.Revision()
 	}
-	if h.snapshot != nil && h.revision == t.Revision() {
-		return nil, h.snapshot, t.Revision()
+	h.encoding.Lock()
+	defer h.encoding.Unlock()
+	if old, at := h.usable(since); old != nil {
+		return nil, old, at
 	}
 	snapshot, err := t.Snapshot()
 	if err != nil {
 		return nil, nil, since
 	}
-	if h.revision == t.Revision() {
-		h.snapshot = snapshot
-	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.snapshot, h.snapshotAt = snapshot, t.Revision()
 	return nil, snapshot, t.Revision()
 }
 
+// usable returns the last encoded snapshot if it is newer than since and within
+// the delta horizon.
+func (h *history) usable(since uint64) ([]byte, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.snapshot == nil || h.snapshotAt <= since || (h.snapshotAt != h.revision && len(h.from(h.snapshotAt)) == 0) {
+		return nil, 0
+	}
+	return h.snapshot, h.snapshotAt
+}
+
+// from returns the deltas after a revision, or nil when it is past the horizon.
+func (h *history) from(since uint64) []*table.Delta {
+	for i, d := range h.deltas {
+		if d.Base == since {
+			return h.deltas[i:]
+		}
+	}
+	return nil
+}
+
 // delta returns the encoded sum of the deltas from since to a revision, or nil.
 func (h *history) delta(since, to uint64) []byte {
-	if h.revision == to {
-		if encoded := h.answers[since]; encoded != nil {
-			return encoded
-		}
+	h.mu.Lock()
+	if h.revision == to && h.answers[since] != nil {
+		defer h.mu.Unlock()
+		return h.answers[since]
+	}
+	parts := append([]*table.Delta(nil), h.from(since)...)
+	h.mu.Unlock()
+	if len(parts) == 0 {
+		return nil
 	}
 	b := table.NewBuilder(since)
-	found := false
-	for _, d := range h.deltas {
-		if found = found || d.Base == since; found && d.Revision <= to {
+	for _, d := range parts {
+		if d.Revision <= to {
 			b.Add(d)
 		}
 	}
-	if !found {
-		return nil
-	}
 	encoded, err := b.Delta(to).Encode()
 	if err != nil {
 		return nil
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.revision == to {
 		h.answers[since] = encoded
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -120,7 +120,7 @@
 		// before. Continuing would let replicas route by different tables.
 		panic(errors.Annotatef(err, "control: command %d", index))
 	}
-	s.history.add(delta, next)
+	s.history.add(delta)
 	s.expose(next)
 }
 
