Report problems with expectation headers in a fixed order

Cause: header names of an expectation were checked in map order, and two names that differ only in case overwrote each other in map order. Control replicas that check the same publish could have stored different results. Ruled out: sorting all problems at the end, because the overwritten header would still decide an expectation at random. Change: names are checked in order; a name that repeats in another case is a problem. FuzzCheckSet compares two runs over the same file. Conclusion: the outcome of a check depends only on the files.

--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http/httptest"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -156,8 +157,8 @@
 	}
 }
 
-// Guards against panics and endless loops on files that teams send in, and
-// against problems without a line.
+// Guards against panics and endless loops on files that teams send in, against
+// problems without a line, and against results that differ between replicas.
 func FuzzCheckSet(f *testing.F) {
 	paths, _ := filepath.Glob("testdata/check/*.txtar")
 	for _, path := range paths {
@@ -167,7 +168,11 @@
 		}
 	}
 	f.Fuzz(func(t *testing.T, content string) {
-		_, problems := CheckSet([]SourceFile{{Name: "f.yaml", Content: content}})
+		files := []SourceFile{{Name: "f.yaml", Content: content}}
+		_, problems := CheckSet(files)
+		if _, again := CheckSet(files); !slices.Equal(again, problems) {
+			t.Errorf("first %v, then %v", problems, again)
+		}
 		for _, p := range problems {
 			if p.Line < 1 || p.Reason == "" {
 				t.Errorf("incomplete problem %+v", p)
--- a/internal/service/validate.go
+++ b/internal/service/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"path"
 	"regexp"
@@ -147,8 +148,22 @@
 			"is %q; must be the name of a service, or left out when no service may match", e.Service)
 		d.Require(e.Service != "" || e.Key == "" && e.Idempotent == nil, field,
 			"gives key or idempotent without service")
-		for name := range e.Request.Headers {
-			d.Require(tokenPattern.MatchString(name), field+".request.headers", "%q is not the name of an HTTP header", name)
+		validateHeaders(d, field+".request.headers", e.Request.Headers)
+	}
+}
+
+// validateHeaders goes through the names in order, because every control
+// replica must find the same problems in the same order.
+func validateHeaders(d *yamldoc.Document, field string, headers map[string]string) {
+	seen := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(headers)) {
+		canonical := http.CanonicalHeaderKey(name)
+		if !tokenPattern.MatchString(name) {
+			d.Add(field, "%q is not the name of an HTTP header", name)
+		}
+		if seen[canonical] {
+			d.Add(field, "%q repeats a header in another case; give it once", name)
 		}
+		seen[canonical] = true
 	}
 }
