Test the connection limit of stand-ins

Cause: the limit had no test, and measurements with stand-ins rely on it. Ruled out: counting connections in the test's client, which would judge the test instead of the server. Change: TestConnectionLimit. Conclusion: the limit works as docs/protocol.md states it.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -196,6 +198,18 @@
 	is.Equal(s.reportedLoad(), wire.LoadReport{})
 }
 
+// Guards against a stand-in that accepts more connections than it states.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	s, _ := start(t, Config{Connections: 1}) // the order's connection stays open
+	conn, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.Equal(send(s), "200 answered") // over the open connection
+}
+
 // Guards against failure switches that do nothing, over the control path.
 func TestFaults(t *testing.T) {
 	is := is.New(t)
