Let requests in flight survive moves of other slices and changes of dispatcher

Cause: the stand-in tested epoch and lease number again before a commit, so every new order of its backend server cut off all requests in flight with "may have run". A publish that waited through a change of leader reported "not in force" at once. Ruled out: waiting in the dispatcher until nothing is in flight before an order, because a long upload would then hold up every move. The daemon asks the next leader again with the time that is left to wait. Conclusion: moves and planned stops no longer cut off unrelated requests.

--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -120,7 +120,7 @@
 		return err
 	}
 	if wait > 0 && !reply.InForce {
-		return errors.WithType(errors.Errorf("committed at revision %d, but not in force within %s on: %v",
+		return errors.WithType(errors.Errorf("committed at revision %d, but not known to be in force within %s; waiting for hosts: %v",
 			reply.Result.Revision, wait, reply.Pending), ErrNotInForce)
 	}
 	return nil
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -45,12 +45,14 @@
 	if err != nil {
 		return wire.ProposalReply{Status: wire.ProposalDropped}, errors.Trace(err)
 	}
-	proposal := wire.Proposal{Command: encoded, WaitInForce: waitMs > 0, WaitMs: waitMs}
+	waitUntil := d.clock.Now().Add(time.Duration(waitMs) * time.Millisecond)
 	last := wire.ProposalReply{Status: wire.ProposalDropped}
 	address := d.session.Leader()
 	for attempt := 0; ctx.Err() == nil; attempt++ {
+		left := max(waitUntil.Sub(d.clock.Now()).Milliseconds(), 0)
+		proposal := wire.Proposal{Command: encoded, WaitInForce: left > 0, WaitMs: left}
 		reply, err := d.proposeAt(ctx, address, method, proposal)
-		if err == nil && reply.Status == wire.ProposalApplied {
+		if err == nil && reply.Status == wire.ProposalApplied && !lostWhileWaiting(reply, left) {
 			return reply, nil
 		}
 		last = worse(last, reply, err)
@@ -60,6 +62,13 @@
 	return last, errors.Annotate(ErrNoLeader, string(last.Status))
 }
 
+// lostWhileWaiting reports that the leader lost its lease before it could say
+// whether the revision is in force. The same command asked of the next leader
+// gives the original result and goes on waiting.
+func lostWhileWaiting(reply wire.ProposalReply, leftMs int64) bool {
+	return leftMs > 0 && reply.Result.Code == command.ResultOK && !reply.InForce && len(reply.Pending) == 0
+}
+
 func (d *Daemon) proposeAt(ctx context.Context, address, method string, proposal wire.Proposal) (wire.ProposalReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout+time.Duration(proposal.WaitMs)*time.Millisecond)
 	defer cancel()
@@ -71,7 +80,8 @@
 // worse keeps the least certain status seen: once an attempt may have been
 // applied, a later certain refusal no longer proves that nothing happened.
 func worse(last, reply wire.ProposalReply, err error) wire.ProposalReply {
-	if err != nil || reply.Status == wire.ProposalUnknown || last.Status == wire.ProposalUnknown {
+	applied := reply.Status == wire.ProposalApplied || reply.Status == wire.ProposalUnknown
+	if err != nil || applied || last.Status == wire.ProposalUnknown {
 		return wire.ProposalReply{Status: wire.ProposalUnknown}
 	}
 	return reply
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -136,7 +136,7 @@
 func (s *Server) takeReply(leaving bool, sent time.Duration, reply wire.AnnounceReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fence.renew(sent, reply)
+	s.fence.renew(sent, s.now(), reply)
 	if !leaving {
 		return
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -66,7 +66,7 @@
 	s := &Server{
 		config: config, started: config.Clock.Now(), listener: listener, gate: newGate(), records: records,
 		client: &http.Client{Transport: &http.Transport{}}, announce: make(chan struct{}, 1),
-		fence: fence{incarnation: rand.Text()}, coldUntil: config.ColdFor,
+		fence: fence{incarnation: rand.Text(), running: map[*ticket]struct{}{}}, coldUntil: config.ColdFor,
 	}
 	if source := config.keySource(); source != nil {
 		s.keys = &service.File{Key: source}
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -63,7 +63,7 @@
 	s.answer(w, t, bodyBytes)
 }
 
-func (s *Server) ticketOf(r *http.Request) ticket {
+func (s *Server) ticketOf(r *http.Request) *ticket {
 	t := readTicket(r.Header)
 	if s.keys == nil {
 		return t
@@ -79,7 +79,7 @@
 
 // refusedByFence answers and reports true when a checking server must not run
 // the request.
-func (s *Server) refusedByFence(w http.ResponseWriter, t ticket) bool {
+func (s *Server) refusedByFence(w http.ResponseWriter, t *ticket) bool {
 	if !s.config.ChecksOrders {
 		return false
 	}
@@ -110,7 +110,7 @@
 
 // begin records the start of an execution. The fence is checked in the same
 // step, because the request may have waited for its slot.
-func (s *Server) begin(w http.ResponseWriter, t ticket, r *http.Request) (int, Execution, bool) {
+func (s *Server) begin(w http.ResponseWriter, t *ticket, r *http.Request) (int, Execution, bool) {
 	s.gate.pass(s.stopped.Done())
 	if s.refusedByFence(w, t) {
 		return 0, Execution{}, true
@@ -122,6 +122,7 @@
 		Method: r.Method, Path: r.URL.Path, Key: t.key, Slice: t.sliceText,
 		Epoch: t.epoch, Lease: t.lease, Start: s.config.Clock.Now(),
 	}
+	s.fence.begin(t)
 	s.lastStart = s.now()
 	s.inWork++
 	s.stats.Started++
@@ -134,7 +135,7 @@
 }
 
 // run reads the body and works. It returns why the work was abandoned, if so.
-func (s *Server) run(r *http.Request, t ticket) (int64, verdict.Reason) {
+func (s *Server) run(r *http.Request, t *ticket) (int64, verdict.Reason) {
 	ctx := r.Context()
 	if t.deadline > 0 {
 		var cancel context.CancelFunc
@@ -174,13 +175,14 @@
 
 // commit ends an execution. A checking server checks its lease and its order
 // again and records the commit in one step.
-func (s *Server) commit(index int, e Execution, t ticket, abandoned verdict.Reason) (verdict.Reason, string) {
+func (s *Server) commit(index int, e Execution, t *ticket, abandoned verdict.Reason) (verdict.Reason, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inWork--
 	reason, detail := abandoned, "the work was abandoned before its commit"
+	lost, lostDetail := s.fence.end(t, s.now())
 	if reason == "" && s.config.ChecksOrders {
-		reason, detail = s.fence.authorises(t, s.now())
+		reason, detail = lost, lostDetail
 	}
 	if reason == "" && s.stopped.Err() != nil {
 		reason, detail = ReasonCancelled, "the server is stopping"
@@ -201,7 +203,7 @@
 }
 
 // answer writes the answer, with the failures that are switched on.
-func (s *Server) answer(w http.ResponseWriter, t ticket, bodyBytes int64) {
+func (s *Server) answer(w http.ResponseWriter, t *ticket, bodyBytes int64) {
 	faults := s.currentFaults()
 	if faults.LoseAnswers {
 		panic(http.ErrAbortHandler)
