--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -90,6 +90,7 @@
 	}
 	atomic.StoreUint64(&s.operated, snap.Operated)
 	s.storeHosts()
+	s.storeOperatorView()
 	s.history.reset(t.Revision())
 	s.expose(t)
 	return nil
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -23,9 +23,11 @@
 	results  *results
 	operated uint64
 
-	table   atomic.Pointer[table.Table]
-	hosts   atomic.Pointer[hostRecords]
-	history *history
+	table atomic.Pointer[table.Table]
+	hosts atomic.Pointer[hostRecords]
+	// operators is renewed by accepted operator commands only.
+	operators atomic.Pointer[operatorView]
+	history   *history
 
 	mu      sync.Mutex
 	changed chan struct{} // closed by the next change
@@ -52,6 +54,7 @@
 	}
 	s.table.Store(table.Empty())
 	s.hosts.Store(&hostRecords{})
+	s.operators.Store(&operatorView{})
 	return s
 }
 
@@ -109,6 +112,9 @@
 			b.PutService(table.Service{File: src.file, Revision: index})
 		}
 	}
+	if s.OperatorRevision() == index {
+		s.storeOperatorView()
+	}
 	if s.fleet.HostsChanged() {
 		s.storeHosts()
 	}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -25,13 +25,20 @@
 	for _, ref := range f.sortedBackends() {
 		d.Backends = append(d.Backends, *f.backends[ref])
 	}
+	d.Drains = f.Drains()
+	return d
+}
+
+// Drains returns a copy of all drain records, sorted by kind and name.
+func (f *Fleet) Drains() []Drain {
+	var out []Drain
 	keys := slices.SortedFunc(maps.Keys(f.drains), func(a, b DrainKey) int {
 		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 	})
 	for _, key := range keys {
-		d.Drains = append(d.Drains, *f.drains[key])
+		out = append(out, *f.drains[key])
 	}
-	return d
+	return out
 }
 
 // Load returns the fleet with the content of d and no pending changes.
