Test the entry path and keep refusals readable during uploads

Cause: a refusal that was sent while the body was still arriving was lost in about one of three uploads over the relay: net/http resets the connection of a request with "Expect: 100-continue" whose body it did not read, and the sender reported may-have-run in place of not-run. Ruled out: no early answers, because a refused 50 MB upload would be read in full; ReadTimeout on the listener, because it bounds whole uploads. Change: after a refusal or an early answer the rest of the body is read for at most 1 s; the upload to the next hop ends first. A truncated answer flushes what it has before it aborts, so that the relay source does not take it for a lost connection. A request for a slice that is being moved waits for its new owner without an attempt. The dispatcher gets a fifth of the time left, at most 20 ms, less than this host, so that its refusal arrives in time. Conclusion: verdicts hold over the relay, also during uploads.

--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -26,7 +26,9 @@
 	}
 }
 
-func isLost(c *command.Command) bool { return c.BackendLost != nil && c.BackendLost.Incarnation == "i1" }
+func isLost(c *command.Command) bool {
+	return c.BackendLost != nil && c.BackendLost.Incarnation == "i1"
+}
 
 // Guards "no traffic before the order is confirmed": requests wait, bounded in
 // number and time, and are refused as not run.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -20,7 +20,7 @@
 	id := in.Header.Get(wire.HeaderRequestID)
 	r, err := h.d.relayed(w, in)
 	if err != nil {
-		forward.WriteRefusal(w, err, id)
+		forward.WriteRefusal(w, in, err, id, in.ContentLength != 0)
 		return
 	}
 	if r.Body != nil {
@@ -29,10 +29,10 @@
 	}
 	resp, failure := h.d.Do(in.Context(), r)
 	if failure != nil {
-		forward.WriteRefusal(w, forward.AsError(failure), id)
+		forward.WriteRefusal(w, in, forward.AsError(failure), id, in.ContentLength != 0)
 		return
 	}
-	forward.CopyResponse(w, resp)
+	forward.CopyResponse(w, in, resp)
 }
 
 // relayed reads a request from the relay hop.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -118,13 +118,13 @@
 	h.counters.Requests.Add(1)
 	id := requestID(r)
 	if err := h.begin(); err != nil {
-		h.refuse(w, err, id)
+		h.refuse(w, r, err, id)
 		return
 	}
 	defer h.end()
 	c, err := h.read(w, r, id)
 	if err != nil {
-		h.refuse(w, err, id)
+		h.refuse(w, r, err, id)
 		return
 	}
 	if c.hasBody() {
@@ -136,19 +136,21 @@
 	defer cancel()
 	resp, err := h.run(ctx, c)
 	if err != nil {
-		h.refuse(w, err, id)
+		h.refuse(w, r, err, id)
 		return
 	}
-	h.deliver(w, resp, id)
+	resp.Body = &closer{ReadCloser: resp.Body, end: c.closeBody}
+	h.deliver(w, r, resp, id)
 }
 
-func (h *Handler) refuse(w http.ResponseWriter, e *verdict.Error, id string) {
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, e *verdict.Error, id string) {
 	h.counters.countRefusal(e)
-	forward.WriteRefusal(w, e, id)
+	held := r.ContentLength >= 0 && r.ContentLength <= h.cfg.Limits.ReplayBytes
+	forward.WriteRefusal(w, r, e, id, !held)
 }
 
 // deliver copies the answer to the caller.
-func (h *Handler) deliver(w http.ResponseWriter, resp *http.Response, id string) {
+func (h *Handler) deliver(w http.ResponseWriter, r *http.Request, resp *http.Response, id string) {
 	forward.RemoveInternal(resp.Header)
 	resp.Header.Set(wire.HeaderRequestID, id)
 	resp.Header.Set(verdict.Header, verdict.Answered.String())
@@ -160,7 +162,7 @@
 			h.counters.Aborted.Add(1)
 		}
 	}()
-	forward.CopyResponse(w, resp)
+	forward.CopyResponse(w, r, resp)
 	complete = true
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,7 +56,17 @@
 		behave(w, r)
 		return
 	}
-	_, _ = io.Copy(w, r.Body)
+	echo(w, r)
+}
+
+// echo reads the whole body first, because net/http drops the rest of it when
+// the answer begins.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
 }
 
 func (b *backend) ran(id string) int {
@@ -203,7 +214,9 @@
 		r.Header.Set(wire.HeaderRequestID, id)
 	}
 	for i := 0; i < len(header); i += 2 {
-		r.Header.Add(header[i], header[i+1])
+		if r.Header.Add(header[i], header[i+1]); header[i] == "Content-Length" {
+			r.ContentLength, _ = strconv.ParseInt(header[i+1], 10, 64)
+		}
 	}
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -53,7 +53,7 @@
 	}
 	u.Scheme, u.Host = "http", to.address
 	left := r.Deadline.Sub(h.cfg.Clock.Now())
-	left -= min(relayGrace, left/10)
+	left -= min(relayGrace, left/5)
 	if left < time.Millisecond {
 		return nil, verdict.Unavailable(verdict.ReasonDeadline, "the deadline passed before the request was relayed")
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -18,6 +18,9 @@
 // current; the table is usually replaced within one poll of the control group.
 const shortWait = 100 * time.Millisecond
 
+// untilDeadline is a wait that the context of the request ends.
+const untilDeadline = time.Hour
+
 // run sends the call until it is answered or may not be sent again.
 func (h *Handler) run(ctx context.Context, c *call) (*http.Response, *verdict.Error) {
 	h.retries.OnRequest()
@@ -29,7 +32,7 @@
 	for attempt := 1; ; attempt++ {
 		if !r.usable {
 			var err *verdict.Error
-			if r, err = h.awaitRoute(ctx, c, r, time.Until(deadlineOf(ctx))); err != nil {
+			if r, err = h.awaitRoute(ctx, c, r, untilDeadline); err != nil {
 				return nil, err
 			}
 		}
@@ -47,11 +50,6 @@
 	}
 }
 
-func deadlineOf(ctx context.Context) time.Time {
-	deadline, _ := ctx.Deadline()
-	return deadline
-}
-
 // retryKeyed says whether sending again to the owner of the key can help, and
 // how long to wait for another owner first. An owner that cannot be reached is
 // usually lost, so its request waits for the next owner.
@@ -60,7 +58,7 @@
 	case verdict.ReasonMoved, verdict.ReasonBackendRefused, verdict.ReasonConnectionLost:
 		return shortWait, true
 	case verdict.ReasonConnect, verdict.ReasonShutdown, verdict.ReasonSession:
-		return time.Minute, true
+		return untilDeadline, true
 	}
 	return 0, false
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -116,6 +116,16 @@
 	return c.writes
 }
 
+// drop forgets body when the answer to its request has begun: nothing waits for
+// a pending read any more, and aborting it would break the caller's connection.
+func (c *conn) drop(body *Body) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.body == body {
+		c.body = nil
+	}
+}
+
 // Close implements net.Conn. It ends a pending read of the request body, which
 // http.Transport waits for before it reports that the connection is closed.
 func (c *conn) Close() error {
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -54,11 +54,11 @@
 	return out
 }
 
-// CopyResponse writes resp to w and streams its body. It panics with
+// CopyResponse answers the request r with resp and streams its body. It panics with
 // http.ErrAbortHandler when the answer breaks off, so that the receiver sees an
 // aborted response and not a complete one.
-func CopyResponse(w http.ResponseWriter, resp *http.Response) {
-	defer resp.Body.Close()
+func CopyResponse(w http.ResponseWriter, r *http.Request, resp *http.Response) {
+	defer func() { _ = resp.Body.Close() }()
 	RemoveHopByHop(resp.Header)
 	h := w.Header()
 	for name, values := range resp.Header {
@@ -66,11 +66,19 @@
 	}
 	w.WriteHeader(resp.StatusCode)
 	if err := copyBody(w, resp); err != nil {
+		// Without the flush, the receiver could see no answer at all and send an
+		// idempotent request again. An error means that the receiver is gone.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range resp.Trailer {
 		h[http.TrailerPrefix+name] = values
 	}
+	if r.ContentLength != 0 && resp.ContentLength >= 0 {
+		// Ends the upload to the next hop, which would share the body with Drain.
+		_ = resp.Body.Close()
+		Drain(w, r)
+	}
 }
 
 // copyBody flushes after each read when the length is unknown, because such an
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -3,13 +3,19 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"strconv"
 	"sync"
+	"time"
 
 	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
+// drainTime bounds the wait for the rest of a body after the answer.
+const drainTime = time.Second
+
 // copyBufferBytes is the size of the buffer that streams one body.
 const copyBufferBytes = 32 << 10
 
@@ -34,9 +40,14 @@
 		Reason: verdict.ReasonConnectionLost, Detail: "the exchange failed", Cause: err}
 }
 
-// WriteRefusal answers a request that was refused or failed.
-func WriteRefusal(w http.ResponseWriter, e *verdict.Error, requestID string) {
+// WriteRefusal answers the request r that was refused or failed. unread says
+// that its body may not have been read to the end: the connection is then closed
+// after the answer.
+func WriteRefusal(w http.ResponseWriter, r *http.Request, e *verdict.Error, requestID string, unread bool) {
 	h := w.Header()
+	if unread {
+		h.Set("Connection", "close")
+	}
 	h.Set(verdict.Header, e.Verdict.String())
 	h.Set(verdict.ReasonHeader, string(e.Reason))
 	h.Set("Content-Type", "application/json")
@@ -44,7 +55,27 @@
 	if requestID != "" {
 		h.Set(wire.HeaderRequestID, requestID)
 	}
+	// Strings always encode.
+	body, _ := json.Marshal(refusal{e.Verdict.String(), string(e.Reason), e.Detail, requestID})
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(e.Status)
 	// A failed write means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(refusal{e.Verdict.String(), string(e.Reason), e.Detail, requestID})
+	_, _ = w.Write(body)
+	if unread {
+		Drain(w, r)
+	}
+}
+
+// Drain sends the answer and reads the rest of the request body for a while.
+// Closing a connection with unread data resets it, which can destroy an answer
+// that the sender has not read yet; net/http guards against that only without
+// "Expect: 100-continue". The length of the answer must have been announced.
+func Drain(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+		return // the connection is gone
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	_, _ = io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{r.Body}, *buf)
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -96,6 +96,9 @@
 	if err != nil {
 		return nil, x.failure(ctx, err)
 	}
+	if x.conn != nil {
+		x.conn.drop(x.body)
+	}
 	if x.refused != nil {
 		// Nothing was written, so this answer belongs to no request of ours.
 		resp.Body.Close()
