--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -75,6 +75,7 @@
 		s.notify()
 	}
 	if lapsed || s.leaving {
+		s.settled = false
 		s.wake()
 	}
 	s.notifyWaiting()
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -272,7 +272,9 @@
 	now := s.d.cfg.Clock.Now()
 	if s.inFlight[f.r.Hash]--; s.inFlight[f.r.Hash] == 0 {
 		delete(s.inFlight, f.r.Hash)
-		s.wake()
+		if !s.settled {
+			s.wake()
+		}
 	}
 	s.total--
 	s.counts.busy += now.Sub(f.began)
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -65,7 +65,7 @@
 func (s *server) step(ctx context.Context) {
 	s.mu.Lock()
 	now := s.d.cfg.Clock.Now()
-	if !s.active || s.rec.Lost || !s.d.sessionValid(now) || now.Before(s.orderGap) {
+	if s.settled || !s.active || s.rec.Lost || !s.d.sessionValid(now) || now.Before(s.orderGap) {
 		s.mu.Unlock()
 		return
 	}
@@ -73,6 +73,7 @@
 	if want.equal(s.confirmed) {
 		released := s.released()
 		gone := s.leaving && len(want.starts) == 0 && s.total == 0
+		s.settled = !s.leaving && !s.releasing()
 		s.mu.Unlock()
 		s.proposeReleased(released)
 		if gone {
@@ -108,6 +109,11 @@
 	return s.leaving || sl.State == table.SliceReleasing
 }
 
+// releasing reports whether the server is giving up any slice; s.mu is held.
+func (s *server) releasing() bool {
+	return slices.ContainsFunc(s.slices, func(sl table.Slice) bool { return sl.State == table.SliceReleasing })
+}
+
 func (s *server) busy(sl table.Slice) bool {
 	for hash := range s.inFlight {
 		if hash >= sl.Start && hash <= sl.Last {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -37,6 +37,7 @@
 	leaving bool
 
 	confirmed  orderState
+	settled    bool      // the order loop has nothing to do until the next change
 	mustRead   bool      // a non-checking server is read back before the first order
 	orderGap   time.Time // no order is sent before
 	proposing  bool
@@ -76,7 +77,7 @@
 	defer s.mu.Unlock()
 	old := s.rec
 	first := !s.active
-	s.active, s.file, s.rec, s.slices = true, file, rec, slices
+	s.active, s.file, s.rec, s.slices, s.settled = true, file, rec, slices, false
 	if first {
 		s.lease.number = max(s.lease.number, rec.Epoch<<leaseNumberBits)
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -104,7 +104,7 @@
 }
 
 func newWorld(t testing.TB, change func(w *world)) *world {
-	w := &world{I: is.New(t.(*testing.T)), t: t, hosts: map[string]*host{}, backends: map[string]*backend{}, files: map[string]*service.File{}}
+	w := &world{I: is.New(t), t: t, hosts: map[string]*host{}, backends: map[string]*backend{}, files: map[string]*service.File{}}
 	return w.start(change)
 }
 
