Level standbys and give rebalancing a memory of its goal

Change: Assign replaces standbys that the loss of a server or a data centre would overload. Only servers above the target give slices up, down to the goal; starved servers are filled to halfway between the floor and a fair load; with Options.Continue a rebalance that was cut short goes on to both.

--- a/internal/placement/rebalance.go
+++ b/internal/placement/rebalance.go
@@ -11,8 +11,8 @@
 	// Target is the imbalance (max/mean of load per slot) within which nothing moves.
 	// Zero means DefaultTarget.
 	Target float64
-	// Goal is the imbalance at which a rebalance that has begun ends. It is below
-	// Target, so that small changes of load start no new one. Zero means halfway
+	// Goal is the load relative to the mean down to which a server above Target gives
+	// slices up, so that small changes of load start no new moves. Zero means halfway
 	// between 1 and Target.
 	Goal float64
 	// Floor is the load relative to a fair one below which a server attracts slices
@@ -20,6 +20,12 @@
 	Floor float64
 	// MaxMoves bounds the slices that one call moves. Zero means DefaultMaxMoves.
 	MaxMoves int
+	// Continue says that the last call gave MaxMoves moves: this one goes on to the
+	// goal, although the target may be met by now.
+	Continue bool
+
+	fill float64 // load relative to a fair one up to which a starved server is filled
+	part float64 // imbalance above which heavy slices are parted
 }
 
 // Defaults of Options.
@@ -38,6 +44,13 @@
 	if o.MaxMoves <= 0 {
 		o.MaxMoves = DefaultMaxMoves
 	}
+	o.fill, o.part = o.Floor, o.Target
+	if o.Floor > 0 {
+		o.fill = (1 + o.Floor) / 2
+	}
+	if o.Continue {
+		o.Target, o.Floor = o.Goal, o.fill
+	}
 	return o
 }
 
@@ -50,9 +63,6 @@
 	}
 	opts = opts.withDefaults()
 	r := newRebalance(newPlan(servers, slices))
-	if !r.needed(opts) {
-		return nil
-	}
 	var moves []Move
 	for len(moves) < opts.MaxMoves {
 		move, ok := r.next(opts)
@@ -72,10 +82,13 @@
 	held  [][]int // slices by owner
 	moved map[int]bool
 	full  []bool // servers that can give up no further slice
+	over  []bool // servers that were above the target
+	under []bool // servers that were below the floor
 }
 
 func newRebalance(p *plan) *rebalance {
 	r := &rebalance{plan: p, held: make([][]int, len(p.servers)), moved: map[int]bool{}, full: make([]bool, len(p.servers))}
+	r.over, r.under = make([]bool, len(p.servers)), make([]bool, len(p.servers))
 	for i, o := range p.owner {
 		if o != none {
 			r.held[o] = append(r.held[o], i)
@@ -113,30 +126,24 @@
 // level is the load of server s relative to the mean.
 func (r *rebalance) level(s int) float64 { return r.own[s] / r.weight[s] / r.mean }
 
-// starved reports whether server s is below the floor.
+// starved reports whether server s is below the floor, or was and is not yet
+// halfway from there to a fair load.
 func (r *rebalance) starved(s int, opts Options) bool {
-	return r.own[s]/r.weight[s] < opts.Floor*r.fair
+	share := r.own[s] / r.weight[s] / r.fair
+	r.under[s] = r.under[s] || share < opts.Floor
+	return r.under[s] && share < opts.fill
 }
 
-func (r *rebalance) needed(opts Options) bool {
-	for s := range r.servers {
-		if (r.level(s) > opts.Target && len(r.held[s]) > 1) || r.starved(s, opts) {
-			return true
-		}
-	}
-	return false
-}
-
-// next makes the best single move: from the most loaded server that can still
-// give, to the least loaded one.
+// next makes one move from the most loaded server that has to give, to the least
+// loaded one.
 func (r *rebalance) next(opts Options) (Move, bool) {
 	for {
-		from, to := r.extremes()
-		if from == none || from == to || (r.level(from) <= opts.Goal && !r.starved(to, opts)) {
+		from, to := r.extremes(opts)
+		if from == none || from == to {
 			return Move{}, false
 		}
 		i := r.pick(from, to)
-		if i == none && r.level(from) > opts.Target {
+		if i == none && r.level(from) > opts.part {
 			i = r.pickPair(from, to)
 		}
 		if i != none {
@@ -147,30 +154,35 @@
 	}
 }
 
-func (r *rebalance) extremes() (from, to int) {
+// extremes returns the server to take from and the one to give to. A server that
+// was above the target gives until it is at the goal; any server gives while the
+// other one is starved.
+func (r *rebalance) extremes(opts Options) (from, to int) {
 	from, to = none, 0
+	starving := false
 	for s := range r.servers {
-		if !r.full[s] && len(r.held[s]) > 1 && (from == none || r.level(s) > r.level(from)) {
-			from = s
+		r.over[s] = r.over[s] || r.level(s) > opts.Target
+		starved := r.starved(s, opts)
+		if starved == starving && r.level(s) < r.level(to) || starved && !starving {
+			to, starving = s, starved
 		}
-		if r.level(s) < r.level(to) {
-			to = s
+	}
+	for s := range r.servers {
+		gives := starving || (r.over[s] && r.level(s) > opts.Goal)
+		if gives && !r.full[s] && len(r.held[s]) > 1 && (from == none || r.level(s) > r.level(from)) {
+			from = s
 		}
 	}
 	return from, to
 }
 
-// pick returns the heaviest slice that brings neither from below nor to above
-// the fair load.
+// pick returns the heaviest slice that brings neither from below nor to above the
+// fair load.
 func (r *rebalance) pick(from, to int) int {
 	best := none
-	excess := r.own[from] - r.fair*r.weight[from]
-	room := r.fair*r.weight[to] - r.own[to]
+	limit := min(r.own[from]-r.fair*r.weight[from], r.fair*r.weight[to]-r.own[to])
 	for _, i := range r.held[from] {
-		if r.moved[i] || r.load[i] > min(excess, room) {
-			continue
-		}
-		if best == none || r.load[i] > r.load[best] {
+		if !r.moved[i] && r.load[i] <= limit && (best == none || r.load[i] > r.load[best]) {
 			best = i
 		}
 	}
--- a/internal/placement/standby.go
+++ b/internal/placement/standby.go
@@ -4,19 +4,16 @@
 
 // standbySlack is the load of a standby after the loss of a data centre, relative
 // to the mean, from which slices that are well placed get another standby too.
-const standbySlack = 1.1
+const standbySlack = 1.05
 
 // spread tracks where load goes when a server or a data centre is lost.
 type spread struct {
 	fromServer map[[2]int]float64 // owner, standby: load
 	fromZone   [][]float64        // data centre of the owner, standby: load
-	base       []float64          // load of each server, at least the mean
+	mean       float64            // load per weight
 	zoneMean   []float64          // load per weight after the loss of each data centre
-	heaviest   []float64          // load of the heaviest slice of each server
 }
 
-// newSpread counts a server below the mean as one at the mean, because slices
-// move to it soon.
 func (p *plan) newSpread() *spread {
 	sp := &spread{fromServer: map[[2]int]float64{}, fromZone: make([][]float64, p.zones)}
 	total, weight := 0.0, 0.0
@@ -25,13 +22,7 @@
 		total, weight = total+p.own[s], weight+p.weight[s]
 		zoneWeight[p.zone[s]] += p.weight[s]
 	}
-	for s := range p.servers {
-		sp.base = append(sp.base, max(p.own[s], total/weight*p.weight[s]))
-	}
-	sp.heaviest = make([]float64, len(p.servers))
-	for i, o := range p.owner {
-		sp.heaviest[o] = max(sp.heaviest[o], p.load[i])
-	}
+	sp.mean = total / weight
 	for z := range zoneWeight {
 		sp.fromZone[z] = make([]float64, len(p.servers))
 		sp.zoneMean = append(sp.zoneMean, total/max(weight-zoneWeight[z], 1))
@@ -79,15 +70,16 @@
 }
 
 // overloads reports whether the standby of slice i would be overloaded by the
-// loss of the owner's data centre.
+// loss of the owner or of the owner's data centre.
 func (p *plan) overloads(sp *spread, i int) bool {
-	z, s := p.zone[p.owner[i]], p.standby[i]
-	return (sp.base[s]+sp.fromZone[z][s])/p.weight[s] > standbySlack*sp.zoneMean[z]
+	o, s := p.owner[i], p.standby[i]
+	z := p.zone[o]
+	return p.own[s]+sp.fromZone[z][s] > standbySlack*sp.zoneMean[z]*p.weight[s] ||
+		p.own[s]+sp.fromServer[[2]int{o, s}] > standbySlack*sp.mean*p.weight[s]
 }
 
 // chooseStandby returns the server on which a loss of the owner of slice i, or
-// of the owner's data centre, weighs least. Two heavy slices are kept apart,
-// because their owner could give up neither without overloading another server.
+// of the owner's data centre, weighs least.
 func (p *plan) chooseStandby(sp *spread, i int) int {
 	o, best, bestScore := p.owner[i], none, 0.0
 	for k := range p.candidates() {
@@ -95,7 +87,7 @@
 		if !p.mayStandBy(o, s) {
 			continue
 		}
-		score := p.standbyScore(sp, o, s) + min(p.load[i], sp.heaviest[s])/p.weight[s]
+		score := p.standbyScore(sp, o, s)
 		if best == none || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -113,5 +105,5 @@
 // after the loss of o's data centre. The sum lets the loss of the server decide
 // where data centres are even, and the other way round.
 func (p *plan) standbyScore(sp *spread, o, s int) float64 {
-	return (2*sp.base[s] + sp.fromServer[[2]int{o, s}] + sp.fromZone[p.zone[o]][s]) / p.weight[s]
+	return (2*p.own[s] + sp.fromServer[[2]int{o, s}] + sp.fromZone[p.zone[o]][s]) / p.weight[s]
 }
