--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -135,12 +135,30 @@
 	}
 }
 
+// defaultService is published by scripts that bring no services of their own.
+const defaultService = `service: desk
+team: scheduling
+version: 1
+match: {path_prefixes: [/desk/]}
+key: {header: X-Key}
+backend: {slots: 4, connections: 64}
+deadline: {default: 2s, max: 60s}
+idempotent: [{methods: [GET, HEAD]}]
+cold_start: {limit: 1, ramp: 1s}
+slices: 64
+`
+
 // cmdUp starts h1 to h3 as one control group and publishes the files in services.
 func cmdUp(ts *testscript.TestScript, neg bool, _ []string) {
 	c := of(ts)
+	services := filepath.Join(c.dir, "services")
+	if _, err := os.Stat(services); err != nil {
+		ts.Check(os.Mkdir(services, 0o755))
+		ts.Check(os.WriteFile(filepath.Join(services, "desk.yaml"), []byte(defaultService), 0o644))
+	}
 	cmdStart(ts, neg, []string{"h1", "h2", "h3"})
 	ts.Check(ts.Exec("agatestep", "bootstrap", c.address("h1", 7104), c.address("h2", 7104), c.address("h3", 7104)))
-	ts.Check(ts.Exec("agatestep", "publish", "--wait", "30s", filepath.Join(c.dir, "services")))
+	ts.Check(ts.Exec("agatestep", "publish", "--wait", "30s", services))
 }
 
 // cmdBackend starts a stand-in: backend NAME SERVICE DC [FLAG...]
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -25,8 +25,12 @@
 }
 
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir:   "testdata",
+	testscript.Run(t, params("testdata"))
+}
+
+func params(dir string) testscript.Params {
+	return testscript.Params{
+		Dir:   dir,
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":         cmdStart,
@@ -48,5 +52,5 @@
 			"same-revision": cmdSameRevision,
 			"judge-uncut":   cmdJudgeUncut,
 		},
-	})
+	}
 }
