Read more often in the random search and shorten the core tests

Reads at deposed leaders had become rarer.

Change: reads are five times as frequent. The core tests use a replica of the simulation.

--- a/internal/replication/chaos_test.go
+++ b/internal/replication/chaos_test.go
@@ -90,7 +90,7 @@
 		if !s.idle && s.rng.IntN(10) == 0 {
 			s.propose()
 		}
-		if s.rng.IntN(40) == 0 {
+		if s.rng.IntN(8) == 0 {
 			s.call(requestRead, "", 0, "")
 		}
 		if s.now%(20*time.Millisecond) == 0 {
--- a/internal/replication/core_test.go
+++ b/internal/replication/core_test.go
@@ -7,16 +7,6 @@
 	"github.com/matryer/is"
 )
 
-// newTestCore returns replica h0/0 of a group of three, whose log ends in term 2.
-func newTestCore(t *testing.T) *Core {
-	data, err := EncodeMembers([]Member{{"h0/0", true}, {"h1/0", true}, {"h2/0", true}})
-	c, err2 := NewCore(CoreConfig{ID: "h0/0", Group: "g", ElectionTicksMin: 12, ElectionTicksMax: 24, HeartbeatTicks: 2}, Persisted{
-		HardState: HardState{Term: 2, Commit: 1},
-		Entries:   []Entry{{1, 1, EntryMembers, data}, {2, 2, EntryCommand, nil}}})
-	is.New(t).NoErr(errors.Join(err, err2))
-	return c
-}
-
 // exchange lets the core process a message from h1/0 and returns its messages.
 func exchange(c *Core, m Message) []Message {
 	m.Group, m.From, m.To = "g", "h1/0", c.cfg.ID
@@ -28,20 +18,20 @@
 	return append(rd.Early, rd.Messages...)
 }
 
-// elect makes the core leader of term 3.
+// elect makes the core leader of the next term.
 func elect(c *Core) {
 	for c.role == follower {
 		c.Tick()
 	}
-	exchange(c, Message{Type: MessagePreVoteReply, Term: 3})
-	exchange(c, Message{Type: MessageVoteReply, Term: 3})
+	exchange(c, Message{Type: MessagePreVoteReply, Term: c.term + 1})
+	exchange(c, Message{Type: MessageVoteReply, Term: c.term})
 }
 
 // Guards against a vote within the time of a lease that the replica may have
 // acknowledged before a restart, or held as leader before it stepped down, and
 // against messages of another group.
 func TestVotesRefusedAfterStartAndStepDown(t *testing.T) {
-	is, c := is.New(t), newTestCore(t)
+	is, c := is.New(t), newSim(t, 1, 3).hosts[0].driver.core
 	vote := Message{Type: MessageVote, Term: 9, Index: 9, LogTerm: 8}
 	is.Equal(len(exchange(c, vote)), 0)
 	elect(c)
@@ -59,7 +49,8 @@
 // it, and against a membership change before an own entry is committed or while
 // another change is not.
 func TestOwnTermCommitsFirst(t *testing.T) {
-	is, c := is.New(t), newTestCore(t)
+	is, c := is.New(t), newSim(t, 1, 3).hosts[0].driver.core
+	exchange(c, Message{Type: MessageAppend, Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{2, 2, EntryCommand, nil}}})
 	elect(c)
 	exchange(c, Message{Type: MessageAppendReply, Term: 3, Index: 2})
 	is.Equal(c.commit, uint64(1))
