Move slices away from lasting stragglers

Ruled out: smoothing service times over 5 s like request rates; a straggler of 8 s then counted as one of more than 10 s.

Change: the leader compares the time per request that dispatchers report with the median of the service. After 10 s above 3 times the median, the slices of a server count four times as heavy, until it is below 1.5 times.

Verified on a scratch copy: with 1 s instead of 10 s the test fails with "110 != 94" (revisions moved by a brief straggler); without the factor with "not true: held() > 0 && held() < before/2"; without the end of the state with "b1 has 7 of 96 slices".

Conclusion: passes with -race in 6.4 s.

--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -15,6 +15,9 @@
 type Loads struct {
 	Slices map[uint64]float64 // by start
 	Keys   map[uint64]float64 // by hash
+	// Slow are the backend servers that have been stragglers for long, with the
+	// factor by which their slices count as heavier than measured.
+	Slow map[string]float64
 }
 
 // View is all that the decision about sessions depends on.
@@ -100,6 +103,9 @@
 			p.Owner = s.Next
 			moving++
 		}
+		if factor, ok := loads.Slow[p.Owner]; ok {
+			p.Load *= factor
+		}
 		list = append(list, p)
 	}
 	return servers, list, moving
--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -224,21 +224,27 @@
 }
 
 // settle lets time pass in which all hosts renew, one of them reports 10 requests
-// per slice and 300 more per hot key, and moves are confirmed. It returns the
-// largest number of slices on the move.
-func (g *group) settle(t *testing.T, d time.Duration, hot ...uint64) (most int) {
+// per slice and 300 more per hot key, each of 1 ms or of 10 ms on the server slow,
+// and moves are confirmed. It returns the largest number of slices on the move.
+func (g *group) settle(t *testing.T, d time.Duration, slow string, hot ...uint64) (most int) {
 	for range d / (100 * time.Millisecond) {
-		r, at := wire.SliceLoads{Service: "desk"}, map[uint64]int{}
-		for i, s := range slicesOf(g.state.Table()) {
-			at[s.Start] = i
-			r.Slices = append(r.Slices, wire.SliceCount{Start: s.Start, Count: 10})
-		}
-		for _, hash := range hot {
-			s, _ := g.state.Table().Lookup("desk", hash)
-			r.Slices[at[s.Start]].Count += 300
-			r.Keys = append(r.Keys, wire.KeyCount{Hash: hash, Count: 300})
+		var loads []wire.SliceLoads
+		for _, s := range slicesOf(g.state.Table()) {
+			r := wire.SliceLoads{Service: "desk", Backend: s.Owner}
+			count := uint64(10)
+			for _, hash := range hot {
+				if hash >= s.Start && hash <= s.Last {
+					r.Keys = append(r.Keys, wire.KeyCount{Hash: hash, Count: 300})
+					count += 300
+				}
+			}
+			r.Slices, r.BusyMs = []wire.SliceCount{{Start: s.Start, Count: count}}, int64(count)
+			if s.Owner == slow {
+				r.BusyMs *= 10
+			}
+			loads = append(loads, r)
 		}
-		g.renew(0, func(req *wire.SessionRenew) { req.Loads = []wire.SliceLoads{r} })
+		g.renew(0, func(req *wire.SessionRenew) { req.Loads = loads })
 		g.renew(1)
 		g.renew(2)
 		g.tick(100 * time.Millisecond)
@@ -261,7 +267,7 @@
 	g := newGroup()
 	check(t, g.renew(0).Granted && g.renew(1).Granted && g.renew(2).Granted, "no sessions")
 	g.populate(t, 96, 6)
-	g.settle(t, 10*time.Second)
+	g.settle(t, 10*time.Second, "")
 	g.checkEven(t)
 	return g
 }
@@ -293,10 +299,10 @@
 		is.True(!g.state.Table().Backend("desk", s.Standby).Draining)
 	}
 	is.Equal(g.state.Drains(), []DrainStatus{{command.DrainDataCentre, "dc1", true, 1, "d1"}})
-	g.settle(t, 5*time.Second)
+	g.settle(t, 5*time.Second, "")
 	is.Equal(len(g.state.Table().SlicesOf("desk", "b1"))+len(g.state.Table().SlicesOf("desk", "b4")), 0)
 	g.must(t, drain("d2", command.DrainDataCentre, "dc1", false, 2))
-	is.True(g.settle(t, 20*time.Second) <= DefaultMaxMoving)
+	is.True(g.settle(t, 20*time.Second, "") <= DefaultMaxMoving)
 	g.checkEven(t)
 }
 
@@ -305,17 +311,32 @@
 func TestHotKeysAreSplitAndLoadSettles(t *testing.T) {
 	is, g := is.New(t), serving(t)
 	hot := []uint64{7, 1 << 40, 1 << 63}
-	g.settle(t, 30*time.Second, hot...)
+	g.settle(t, 30*time.Second, "", hot...)
 	for _, hash := range hot {
 		s, _ := g.state.Table().Lookup("desk", hash)
 		is.True(s.Start == hash && s.Last == hash)
 	}
 	is.Equal(g.state.Table().SliceCount("desk"), 96+2*3)
 	revision := g.state.Table().Revision()
-	g.settle(t, 20*time.Second, hot...)
+	g.settle(t, 20*time.Second, "", hot...)
 	is.Equal(g.state.Table().Revision(), revision)
 }
 
+// Guards against slices that leave a brief straggler, that stay on a lasting one,
+// and that do not come back to one that recovered.
+func TestSlicesLeaveLastingStraggler(t *testing.T) {
+	is, g := is.New(t), serving(t)
+	revision, held := g.state.Table().Revision(), func() int { return len(g.state.Table().SlicesOf("desk", "b1")) }
+	g.settle(t, 5*time.Second, "b1")
+	g.settle(t, 20*time.Second, "")
+	is.Equal(g.state.Table().Revision(), revision)
+	before := held()
+	g.settle(t, 30*time.Second, "b1")
+	is.True(held() > 0 && held() < before/2)
+	g.settle(t, 60*time.Second, "")
+	g.checkEven(t)
+}
+
 // Guards against keys that stay without an owner, or get two, when a dispatcher
 // and a backend server that it served are lost together, and against a loss that
 // leaves slices unprepared for a second one.
@@ -337,7 +358,7 @@
 		now, _ := g.state.Table().Lookup("desk", s.Start)
 		is.True(now.Owner == s.Standby && now.Epoch == index) // in one step
 	}
-	g.settle(t, 2*time.Second)
+	g.settle(t, 2*time.Second, "")
 	for _, s := range slicesOf(g.state.Table()) {
 		is.True(s.Standby != "" && s.Standby != "b1" && s.Standby != s.Owner)
 	}
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -29,6 +30,8 @@
 type serviceLoads struct {
 	slices map[uint64]*rate // by start
 	keys   map[uint64]*rate // by hash
+	// servers are the service times by backend server.
+	servers map[string]*serverLoad
 }
 
 type rate struct {
@@ -42,11 +45,18 @@
 	for _, r := range reports {
 		s := l.services[r.Service]
 		if s == nil {
-			s = &serviceLoads{slices: map[uint64]*rate{}, keys: map[uint64]*rate{}}
+			s = &serviceLoads{slices: map[uint64]*rate{}, keys: map[uint64]*rate{}, servers: map[string]*serverLoad{}}
 			l.services[r.Service] = s
 		}
+		server := s.servers[r.Backend]
+		if server == nil {
+			server = &serverLoad{}
+			s.servers[r.Backend] = server
+		}
+		server.busyMs += uint64(max(0, r.BusyMs))
 		for _, c := range r.Slices {
 			addCount(s.slices, c.Start, c.Count)
+			server.count += c.Count
 		}
 		for _, c := range r.Keys {
 			addCount(s.keys, c.Hash, c.Count)
@@ -74,15 +84,21 @@
 	if first {
 		return // the time that the first counts cover is unknown
 	}
-	// A linear approximation of exponential decay, exact enough at one fold a second.
-	weight := min(1, elapsed.Seconds()/(loadHalfLife.Seconds()+elapsed.Seconds()))
+	weight := decay(elapsed, loadHalfLife)
 	for _, s := range l.services {
 		foldRates(s.slices, elapsed.Seconds(), weight)
 		foldRates(s.keys, elapsed.Seconds(), weight)
 		s.boundKeys()
+		s.foldServers(now, elapsed)
 	}
 }
 
+// decay returns the weight of a new measurement after a time in which the older
+// ones have lost part of theirs.
+func decay(elapsed, halfLife time.Duration) float64 {
+	return 1 - math.Exp2(-elapsed.Seconds()/halfLife.Seconds())
+}
+
 func foldRates(rates map[uint64]*rate, seconds, weight float64) {
 	for id, r := range rates {
 		r.perSecond += weight * (float64(r.count)/seconds - r.perSecond)
@@ -141,7 +157,7 @@
 func (l *loads) view(service string) Loads {
 	v := Loads{}
 	if s := l.services[service]; s != nil {
-		v.Slices, v.Keys = rates(s.slices), rates(s.keys)
+		v.Slices, v.Keys, v.Slow = rates(s.slices), rates(s.keys), s.slow()
 	}
 	return v
 }
