--- a/internal/placement/rebalance.go
+++ b/internal/placement/rebalance.go
@@ -11,15 +11,21 @@
 	// Target is the imbalance (max/mean of load per slot) within which nothing moves.
 	// Zero means DefaultTarget.
 	Target float64
-	// Goal is the imbalance at which a rebalance that has begun ends. It is below
-	// Target, so that small changes of load start no new one. Zero means halfway
+	// Goal is the load relative to the mean down to which a server above Target gives
+	// slices up, so that small changes of load start no new moves. Zero means halfway
 	// between 1 and Target.
 	Goal float64
-	// Floor is the load relative to the mean below which a server attracts slices
+	// Floor is the load relative to a fair one below which a server attracts slices
 	// even within Target, so that a server that returned is used. Zero disables it.
 	Floor float64
 	// MaxMoves bounds the slices that one call moves. Zero means DefaultMaxMoves.
 	MaxMoves int
+	// Continue says that the last call gave MaxMoves moves: this one goes on to the
+	// goal, although the target may be met by now.
+	Continue bool
+
+	fill float64 // load relative to a fair one up to which a starved server is filled
+	part float64 // imbalance above which heavy slices are parted
 }
 
 // Defaults of Options.
@@ -38,6 +44,13 @@
 	if o.MaxMoves <= 0 {
 		o.MaxMoves = DefaultMaxMoves
 	}
+	o.fill, o.part = o.Floor, o.Target
+	if o.Floor > 0 {
+		o.fill = (1 + o.Floor) / 2
+	}
+	if o.Continue {
+		o.Target, o.Floor = o.Goal, o.fill
+	}
 	return o
 }
 
@@ -50,9 +63,6 @@
 	}
 	opts = opts.withDefaults()
 	r := newRebalance(newPlan(servers, slices))
-	if !r.needed(opts) {
-		return nil
-	}
 	var moves []Move
 	for len(moves) < opts.MaxMoves {
 		move, ok := r.next(opts)
@@ -67,48 +77,76 @@
 // rebalance is a plan with the slices by owner.
 type rebalance struct {
 	*plan
-	mean  float64
+	mean  float64 // load per weight of all servers
+	fair  float64 // the same without slices that alone exceed it on their owner
 	held  [][]int // slices by owner
 	moved map[int]bool
 	full  []bool // servers that can give up no further slice
+	over  []bool // servers that were above the target
+	under []bool // servers that were below the floor
 }
 
 func newRebalance(p *plan) *rebalance {
 	r := &rebalance{plan: p, held: make([][]int, len(p.servers)), moved: map[int]bool{}, full: make([]bool, len(p.servers))}
-	total, weight := 0.0, 0.0
-	for s := range p.servers {
-		total, weight = total+p.own[s], weight+p.weight[s]
-	}
-	r.mean = total / weight
+	r.over, r.under = make([]bool, len(p.servers)), make([]bool, len(p.servers))
 	for i, o := range p.owner {
 		if o != none {
 			r.held[o] = append(r.held[o], i)
 		}
 	}
+	r.setMeans()
 	return r
 }
 
-// level is the load of server s relative to the mean.
-func (r *rebalance) level(s int) float64 { return r.own[s] / r.weight[s] / r.mean }
-
-func (r *rebalance) needed(opts Options) bool {
+// setMeans computes the mean, and the fair load: what is left for a server when
+// each slice that exceeds a fair load has its owner for itself.
+func (r *rebalance) setMeans() {
+	total, weight := 0.0, 0.0
+	top := make([]float64, len(r.servers))
 	for s := range r.servers {
-		if l := r.level(s); (l > opts.Target && len(r.held[s]) > 1) || l < opts.Floor {
-			return true
+		total, weight = total+r.own[s], weight+r.weight[s]
+		for _, i := range r.held[s] {
+			top[s] = max(top[s], r.load[i])
 		}
 	}
-	return false
+	r.mean, r.fair = total/weight, total/weight
+	alone := make([]bool, len(r.servers))
+	for changed := true; changed; {
+		changed = false
+		for s := range r.servers {
+			if !alone[s] && top[s] > r.fair*r.weight[s] && weight > r.weight[s] {
+				alone[s], changed = true, true
+				total, weight = total-top[s], weight-r.weight[s]
+				r.fair = total / weight
+			}
+		}
+	}
+}
+
+// level is the load of server s relative to the mean.
+func (r *rebalance) level(s int) float64 { return r.own[s] / r.weight[s] / r.mean }
+
+// starved reports whether server s is below the floor, or was and is not yet
+// halfway from there to a fair load.
+func (r *rebalance) starved(s int, opts Options) bool {
+	share := r.own[s] / r.weight[s] / r.fair
+	r.under[s] = r.under[s] || share < opts.Floor
+	return r.under[s] && share < opts.fill
 }
 
-// next makes the best single move: from the most loaded server that can still
-// give, to the least loaded one.
+// next makes one move from the most loaded server that has to give, to the least
+// loaded one.
 func (r *rebalance) next(opts Options) (Move, bool) {
 	for {
-		from, to := r.extremes()
-		if from == none || (r.level(from) <= opts.Goal && r.level(to) >= opts.Floor) {
+		from, to := r.extremes(opts)
+		if from == none || from == to {
 			return Move{}, false
 		}
-		if i := r.pick(from, to); i != none {
+		i := r.pick(from, to)
+		if i == none && r.level(from) > opts.part {
+			i = r.pickPair(from, to)
+		}
+		if i != none {
 			r.shift(i, from, to)
 			return Move{Index: i, To: r.servers[to].Name}, true
 		}
@@ -116,36 +154,55 @@
 	}
 }
 
-func (r *rebalance) extremes() (from, to int) {
+// extremes returns the server to take from and the one to give to. A server that
+// was above the target gives until it is at the goal; any server gives while the
+// other one is starved.
+func (r *rebalance) extremes(opts Options) (from, to int) {
 	from, to = none, 0
+	starving := false
 	for s := range r.servers {
-		if !r.full[s] && len(r.held[s]) > 1 && (from == none || r.level(s) > r.level(from)) {
-			from = s
+		r.over[s] = r.over[s] || r.level(s) > opts.Target
+		starved := r.starved(s, opts)
+		if starved == starving && r.level(s) < r.level(to) || starved && !starving {
+			to, starving = s, starved
 		}
-		if r.level(s) < r.level(to) {
-			to = s
+	}
+	for s := range r.servers {
+		gives := starving || (r.over[s] && r.level(s) > opts.Goal)
+		if gives && !r.full[s] && len(r.held[s]) > 1 && (from == none || r.level(s) > r.level(from)) {
+			from = s
 		}
 	}
 	return from, to
 }
 
-// pick returns the heaviest slice of from that leaves to below the level that
-// from had, and that does not push from far below the mean.
+// pick returns the heaviest slice that brings neither from below nor to above the
+// fair load.
 func (r *rebalance) pick(from, to int) int {
 	best := none
-	excess := (r.level(from) - 1) * r.mean * r.weight[from]
-	room := (1 - r.level(to)) * r.mean * r.weight[to]
+	limit := min(r.own[from]-r.fair*r.weight[from], r.fair*r.weight[to]-r.own[to])
 	for _, i := range r.held[from] {
-		if r.moved[i] || r.load[i] > max(min(excess, room), 0) {
-			continue
-		}
-		if best == none || r.load[i] > r.load[best] {
+		if !r.moved[i] && r.load[i] <= limit && (best == none || r.load[i] > r.load[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
+// pickPair returns the slice whose move lowers the higher load of the two servers
+// most. It parts heavy slices that fit nowhere, after which their new owner gives
+// up its light ones.
+func (r *rebalance) pickPair(from, to int) int {
+	best, lowest := none, r.own[from]/r.weight[from]
+	for _, i := range r.held[from] {
+		higher := max((r.own[from]-r.load[i])/r.weight[from], (r.own[to]+r.load[i])/r.weight[to])
+		if !r.moved[i] && higher < lowest {
+			best, lowest = i, higher
+		}
+	}
+	return best
+}
+
 func (r *rebalance) shift(i, from, to int) {
 	r.setOwner(i, to)
 	r.moved[i] = true
