--- a/internal/service/validate.go
+++ b/internal/service/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"path"
 	"regexp"
@@ -36,14 +37,10 @@
 		"is %q; must be local or any", f.DataCentres.Prefer)
 	d.Require(f.Prefer == PreferAvailability || f.Prefer == PreferTailLatency, "prefer",
 		"is %q; must be %s or %s", f.Prefer, PreferAvailability, PreferTailLatency)
-	requireRange(d, "max_body_bytes", f.MaxBodyBytes, 0, maxBodyBytes)
+	yamldoc.RequireRange(d, "max_body_bytes", f.MaxBodyBytes, 0, maxBodyBytes)
 	validateExpectations(f, d)
 }
 
-func requireRange[T int | int64 | time.Duration](d *yamldoc.Document, field string, value, low, high T) {
-	d.Require(value >= low && value <= high, field, "is %v; must be between %v and %v", value, low, high)
-}
-
 func requireEntries(d *yamldoc.Document, field string, n int) {
 	d.Require(n <= MaxEntries, field, "has %d entries; at most %d are allowed", n, MaxEntries)
 }
@@ -53,6 +50,8 @@
 		"must give hosts, path_prefixes or both")
 	requireEntries(d, "match.hosts", len(f.Match.Hosts))
 	requireEntries(d, "match.path_prefixes", len(f.Match.PathPrefixes))
+	d.Require(len(f.claims()) <= MaxClaims, "match", "gives %d pairs of a host and a path prefix; at most %d are allowed",
+		len(f.Match.Hosts)*len(f.Match.PathPrefixes), MaxClaims)
 	for i, host := range f.Match.Hosts {
 		field := itemField("match.hosts", i)
 		d.Require(len(host) <= 253 && hostPattern.MatchString(host), field,
@@ -94,27 +93,27 @@
 	d.Require(http.CanonicalHeaderKey(f.Key.Header) != "Host", "key.header", "must not be Host")
 	d.Require(!d.Has("key.query") || f.Key.Query != "", "key.query", "must be the name of a query parameter")
 	if d.Has("key.path_segment") {
-		requireRange(d, "key.path_segment", f.Key.PathSegment, 0, 63)
+		yamldoc.RequireRange(d, "key.path_segment", f.Key.PathSegment, 0, 63)
 	}
-	requireRange(d, "slices", f.Slices, 1, MaxSlices)
+	yamldoc.RequireRange(d, "slices", f.Slices, 1, MaxSlices)
 }
 
 func validateBackend(f *File, d *yamldoc.Document) {
-	requireRange(d, "backend.slots", f.Backend.Slots, 1, MaxSlots)
-	requireRange(d, "backend.connections", f.Backend.Connections, 1, MaxConnections)
+	yamldoc.RequireRange(d, "backend.slots", f.Backend.Slots, 1, MaxSlots)
+	yamldoc.RequireRange(d, "backend.connections", f.Backend.Connections, 1, MaxConnections)
 	d.Require(f.Backend.Connections >= f.Backend.Slots, "backend.connections",
 		"is %d; must be at least backend.slots, %d", f.Backend.Connections, f.Backend.Slots)
-	requireRange(d, "backend.connection_cost", f.Backend.ConnectionCost, 0, maxCost)
-	requireRange(d, "backend.probe_cost", f.Backend.ProbeCost, 0, maxCost)
-	requireRange(d, "cold_start.limit", f.ColdStart.Limit, 1, MaxSlots)
+	yamldoc.RequireRange(d, "backend.connection_cost", f.Backend.ConnectionCost, 0, maxCost)
+	yamldoc.RequireRange(d, "backend.probe_cost", f.Backend.ProbeCost, 0, maxCost)
+	yamldoc.RequireRange(d, "cold_start.limit", f.ColdStart.Limit, 1, MaxSlots)
 	d.Require(f.ColdStart.Limit <= f.Backend.Slots, "cold_start.limit",
 		"is %d; must be at most backend.slots, %d", f.ColdStart.Limit, f.Backend.Slots)
-	requireRange(d, "cold_start.ramp", f.ColdStart.Ramp, 0, maxRamp)
+	yamldoc.RequireRange(d, "cold_start.ramp", f.ColdStart.Ramp, 0, maxRamp)
 }
 
 func validateTimes(f *File, d *yamldoc.Document) {
-	requireRange(d, "deadline.default", f.Deadline.Default, time.Millisecond, MaxDeadline)
-	requireRange(d, "deadline.max", f.Deadline.Max, time.Millisecond, MaxDeadline)
+	yamldoc.RequireRange(d, "deadline.default", f.Deadline.Default, time.Millisecond, MaxDeadline)
+	yamldoc.RequireRange(d, "deadline.max", f.Deadline.Max, time.Millisecond, MaxDeadline)
 	d.Require(f.Deadline.Default <= f.Deadline.Max, "deadline.default",
 		"is %v; must be at most deadline.max, %v", f.Deadline.Default, f.Deadline.Max)
 }
@@ -149,8 +148,22 @@
 			"is %q; must be the name of a service, or left out when no service may match", e.Service)
 		d.Require(e.Service != "" || e.Key == "" && e.Idempotent == nil, field,
 			"gives key or idempotent without service")
-		for name := range e.Request.Headers {
-			d.Require(tokenPattern.MatchString(name), field+".request.headers", "%q is not the name of an HTTP header", name)
+		validateHeaders(d, field+".request.headers", e.Request.Headers)
+	}
+}
+
+// validateHeaders goes through the names in order, because every control
+// replica must find the same problems in the same order.
+func validateHeaders(d *yamldoc.Document, field string, headers map[string]string) {
+	seen := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(headers)) {
+		canonical := http.CanonicalHeaderKey(name)
+		if !tokenPattern.MatchString(name) {
+			d.Add(field, "%q is not the name of an HTTP header", name)
+		}
+		if seen[canonical] {
+			d.Add(field, "%q repeats a header in another case; give it once", name)
 		}
+		seen[canonical] = true
 	}
 }
