Register backend servers without sorting all of them; correct the benchmark

Cause: setting up 7,200 backend servers spent 31% of the time on sorting references, and each announcement looked at the dispatchers of all servers. The benchmark of the state was wrong: the first server owned all slices, so the lost servers owned none.

Change: references are inserted in order and an announcement assigns its own dispatchers only. Move repairs standbys only where a slice is not complete. Loads of services that are not published are ignored. The benchmark spreads the slices over 360 servers and loses servers of one data centre in turn.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -21,6 +21,13 @@
 				address := fmt.Sprintf("10.%d.%d.%d:80", s, i/200, i%200)
 				g.must(b, announced(name, i, func(a *command.BackendAnnounced) { a.Address = address }))
 			}
+			m, r := &command.Move{Service: name}, &command.Released{Service: name, Backend: "b0"}
+			for _, s := range g.state.Table().SlicesOf(name, "b0") { // the first server owns all slices
+				m.Moves = append(m.Moves, command.SliceMove{Start: s.Start, Epoch: s.Epoch, To: fmt.Sprint("b", len(m.Moves)%360)})
+				r.Starts, r.Epochs = append(r.Starts, s.Start), append(r.Epochs, s.Epoch)
+			}
+			g.must(b, command.Command{Move: m})
+			g.must(b, command.Command{Released: r})
 		}
 		run := func(name string, op func(i int)) {
 			b.Run(fmt.Sprintf("%s/slices=%d", name, services*23_000), func(b *testing.B) {
@@ -30,8 +37,9 @@
 			})
 		}
 		run("lost", func(i int) {
-			g.do(b, command.Command{BackendLost: &command.BackendLost{Backend: fmt.Sprint("b", 1+i%350), Service: "s0", Incarnation: "i1"}})
+			g.do(b, command.Command{BackendLost: &command.BackendLost{Backend: fmt.Sprint("b", 1+3*(i%119)), Service: "s0", Incarnation: "i1"}})
 		})
+		run("repair", func(int) { g.must(b, command.Command{Repair: &command.Repair{Service: "s0"}}) })
 		run("balance", func(int) {
 			g.clock.Advance(2 * time.Second)
 			t, loads, _ := g.balanceView()
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -41,8 +41,12 @@
 
 func newLoads() *loads { return &loads{services: map[string]*serviceLoads{}} }
 
-func (l *loads) add(reports []wire.SliceLoads) {
+// add takes in the reports about published services.
+func (l *loads) add(reports []wire.SliceLoads, t *table.Table) {
 	for _, r := range reports {
+		if t.Service(r.Service) == nil {
+			continue
+		}
 		s := l.services[r.Service]
 		if s == nil {
 			s = &serviceLoads{slices: map[uint64]*rate{}, keys: map[uint64]*rate{}, servers: map[string]*serverLoad{}}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -119,7 +119,7 @@
 func (l *Leader) grant(req *wire.SessionRenew, host string, r leadership) {
 	old := l.sessions[host]
 	l.sessions[host] = &session{instance: req.Instance, expires: r.now.Add(l.sessionSpan()), applied: req.Applied}
-	l.loads.add(req.Loads)
+	l.loads.add(req.Loads, l.cfg.State.Table())
 	if old == nil || old.applied != req.Applied {
 		l.notify()
 	}
--- a/internal/fleet/backends.go
+++ b/internal/fleet/backends.go
@@ -36,11 +36,11 @@
 		next.Epoch = index
 	}
 	if old == nil {
-		f.order = nil
+		f.insertOrder(ref)
 	}
 	f.backends[ref] = next
 	f.changedBackends[ref] = true
-	f.assignDispatchers(index)
+	f.assignDispatchers(index, ref)
 	return replaced, nil
 }
 
--- a/internal/fleet/dispatchers.go
+++ b/internal/fleet/dispatchers.go
@@ -31,12 +31,12 @@
 	return r
 }
 
-// assignDispatchers replaces the dispatchers and standby dispatchers that are
-// absent. A dispatcher that has a session is never replaced, because it may
+// assignDispatchers replaces the dispatchers and standby dispatchers of some
+// backend servers that are absent. A dispatcher that has a session is never replaced, because it may
 // still send to the backend server.
-func (f *Fleet) assignDispatchers(index uint64) {
+func (f *Fleet) assignDispatchers(index uint64, refs ...table.BackendRef) {
 	r := f.countRoles()
-	for _, ref := range f.sortedBackends() {
+	for _, ref := range refs {
 		b := f.backends[ref]
 		if f.Host(b.Dispatcher) == nil {
 			next := b.StandbyDispatcher
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,7 +64,7 @@
 	backends map[table.BackendRef]*Backend
 	drains   map[DrainKey]*Drain
 	term     uint64             // of the last leader that recorded its election
-	order    []table.BackendRef // sorted references, nil after an addition or removal
+	order    []table.BackendRef // sorted references, nil after a removal
 
 	changedHosts    map[string]bool
 	changedBackends map[table.BackendRef]bool
@@ -152,13 +152,23 @@
 // all backend servers are the same on every replica.
 func (f *Fleet) sortedBackends() []table.BackendRef {
 	if f.order == nil {
-		f.order = slices.SortedFunc(maps.Keys(f.backends), func(a, b table.BackendRef) int {
-			return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
-		})
+		f.order = slices.SortedFunc(maps.Keys(f.backends), compareRefs)
 	}
 	return f.order
 }
 
+// insertOrder adds a new reference to the sorted ones.
+func (f *Fleet) insertOrder(ref table.BackendRef) {
+	order := f.sortedBackends()
+	if at, ok := slices.BinarySearchFunc(order, ref, compareRefs); !ok {
+		f.order = slices.Insert(order, at, ref)
+	}
+}
+
+func compareRefs(a, b table.BackendRef) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+}
+
 func pushPast(past []string, name string) []string {
 	past = append(slices.Clone(past), name)
 	if len(past) > maxPast {
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -36,7 +36,7 @@
 	next.Joined = index
 	f.hosts[j.Host] = next
 	f.changedHosts[j.Host] = true
-	f.assignDispatchers(index)
+	f.assignDispatchers(index, f.sortedBackends()...)
 	f.spreadStandbys()
 	return nil
 }
@@ -109,7 +109,7 @@
 	}
 	h.Absent, h.LostAt = true, index
 	f.changedHosts[name] = true
-	f.assignDispatchers(index)
+	f.assignDispatchers(index, f.sortedBackends()...)
 	f.forgetHosts()
 	return nil
 }
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -34,7 +34,7 @@
 			"service %s: none of %d slices can move: each is moving, has another epoch, or names a server that is not available",
 			s.service, len(moves)), ErrStale)
 	}
-	s.Reassign(fleet, index)
+	s.Repair(fleet, index)
 	return started, nil
 }
 
