--- a/internal/placement/rebalance.go
+++ b/internal/placement/rebalance.go
@@ -1,5 +1,7 @@
 package placement
 
+import "slices"
+
 // Move gives slice Index to server To.
 type Move struct {
 	Index int
@@ -57,19 +59,19 @@
 // Rebalance returns few moves that bring the imbalance within the goal, or none
 // while it is within the target. Slices without an available owner are left to
 // Assign. A server whose load is one slice gives up nothing.
-func Rebalance(servers []Server, slices []Slice, opts Options) []Move {
-	if len(servers) < 2 || len(slices) == 0 {
+func Rebalance(servers []Server, all []Slice, opts Options) []Move {
+	if len(servers) < 2 || len(all) == 0 {
 		return nil
 	}
 	opts = opts.withDefaults()
-	r := newRebalance(newPlan(servers, slices))
+	r := newRebalance(newPlan(servers, all))
 	var moves []Move
 	for len(moves) < opts.MaxMoves {
-		move, ok := r.next(opts)
-		if !ok {
+		more := r.next(opts, opts.MaxMoves-len(moves))
+		if len(more) == 0 {
 			break
 		}
-		moves = append(moves, move)
+		moves = append(moves, more...)
 	}
 	return moves
 }
@@ -134,21 +136,24 @@
 	return r.under[s] && share < opts.fill
 }
 
-// next makes one move from the most loaded server that has to give, to the least
-// loaded one.
-func (r *rebalance) next(opts Options) (Move, bool) {
+// next makes a move from the most loaded server that has to give to the least
+// loaded one. Where no slice fits, it makes up to most moves that part heavy slices.
+func (r *rebalance) next(opts Options, most int) []Move {
 	for {
 		from, to := r.extremes(opts)
 		if from == none || from == to {
-			return Move{}, false
+			return nil
 		}
-		i := r.pick(from, to)
-		if i == none && r.level(from) > opts.part {
-			i = r.pickPair(from, to)
+		if i := r.pick(from, to); i != none {
+			return []Move{r.shift(i, to)}
 		}
-		if i != none {
-			r.shift(i, from, to)
-			return Move{Index: i, To: r.servers[to].Name}, true
+		if r.level(from) > opts.part {
+			if moves := r.exchange(from, most, opts); moves != nil {
+				return moves
+			}
+			if i := r.pickPair(from, to); i != none {
+				return []Move{r.shift(i, to)}
+			}
 		}
 		r.full[from] = true
 	}
@@ -203,14 +208,86 @@
 	return best
 }
 
-func (r *rebalance) shift(i, from, to int) {
-	r.setOwner(i, to)
-	r.moved[i] = true
-	for k, h := range r.held[from] {
-		if h == i {
-			r.held[from] = append(r.held[from][:k], r.held[from][k+1:]...)
-			break
+// exchange moves light slices away from the server that has no heavy ones, until
+// a heavy slice of from fits there, and then that one. It makes no move when that
+// takes more than most.
+func (r *rebalance) exchange(from, most int, opts Options) []Move {
+	heavy, to := r.lightestEnough(from, opts), r.lightest(from)
+	if heavy == none || to == none {
+		return nil
+	}
+	var moves []Move
+	for r.own[to]+r.load[heavy] > opts.Goal*r.mean*r.weight[to] {
+		i, dest := r.evictable(from, to, opts)
+		if i == none || len(moves)+1 >= most {
+			for _, m := range moves {
+				r.shift(m.Index, to)
+				r.moved[m.Index] = false
+			}
+			return nil
+		}
+		moves = append(moves, r.shift(i, dest))
+	}
+	return append(moves, r.shift(heavy, to))
+}
+
+// lightestEnough returns the lightest slice whose loss brings from within the target.
+func (r *rebalance) lightestEnough(from int, opts Options) int {
+	best := none
+	for _, i := range r.held[from] {
+		if r.moved[i] || r.own[from]-r.load[i] > opts.part*r.mean*r.weight[from] {
+			continue
+		}
+		if best == none || r.load[i] < r.load[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// lightest returns the server other than from whose heaviest slice is the lightest.
+func (r *rebalance) lightest(from int) int {
+	best, lowest := none, 0.0
+	for s := range r.servers {
+		heaviest := 0.0
+		for _, i := range r.held[s] {
+			heaviest = max(heaviest, r.load[i])
+		}
+		if s != from && (best == none || heaviest/r.weight[s] < lowest) {
+			best, lowest = s, heaviest/r.weight[s]
 		}
 	}
+	return best
+}
+
+// evictable returns the heaviest slice of server s that fits on the least loaded
+// server other than s and from, and that server.
+func (r *rebalance) evictable(from, s int, opts Options) (slice, dest int) {
+	slice, dest = none, none
+	for d := range r.servers {
+		if d != s && d != from && (dest == none || r.level(d) < r.level(dest)) {
+			dest = d
+		}
+	}
+	if dest == none {
+		return none, none
+	}
+	room := opts.Goal*r.mean*r.weight[dest] - r.own[dest]
+	for _, i := range r.held[s] {
+		if !r.moved[i] && r.load[i] <= room && (slice == none || r.load[i] > r.load[slice]) {
+			slice = i
+		}
+	}
+	return slice, dest
+}
+
+// shift gives slice i to server to.
+func (r *rebalance) shift(i, to int) Move {
+	from := r.owner[i]
+	r.setOwner(i, to)
+	r.moved[i] = true
+	at := slices.Index(r.held[from], i)
+	r.held[from] = slices.Delete(r.held[from], at, at+1)
 	r.held[to] = append(r.held[to], i)
+	return Move{Index: i, To: r.servers[to].Name}
 }
