--- a/internal/placement/standby.go
+++ b/internal/placement/standby.go
@@ -11,6 +11,7 @@
 	fromServer map[[2]int]float64 // owner, standby: load
 	fromZone   [][]float64        // data centre of the owner, standby: load
 	mean       float64            // load per weight
+	heaviest   []float64          // load of the heaviest slice of each server
 	zoneMean   []float64          // load per weight after the loss of each data centre
 }
 
@@ -23,6 +24,10 @@
 		zoneWeight[p.zone[s]] += p.weight[s]
 	}
 	sp.mean = total / weight
+	sp.heaviest = make([]float64, len(p.servers))
+	for i, o := range p.owner {
+		sp.heaviest[o] = max(sp.heaviest[o], p.load[i])
+	}
 	for z := range zoneWeight {
 		sp.fromZone[z] = make([]float64, len(p.servers))
 		sp.zoneMean = append(sp.zoneMean, total/max(weight-zoneWeight[z], 1))
@@ -79,7 +84,8 @@
 }
 
 // chooseStandby returns the server on which a loss of the owner of slice i, or
-// of the owner's data centre, weighs least.
+// of the owner's data centre, weighs least. Two heavy slices are kept apart,
+// because parting them later costs moves.
 func (p *plan) chooseStandby(sp *spread, i int) int {
 	o, best, bestScore := p.owner[i], none, 0.0
 	for k := range p.candidates() {
@@ -87,7 +93,7 @@
 		if !p.mayStandBy(o, s) {
 			continue
 		}
-		score := p.standbyScore(sp, o, s)
+		score := p.standbyScore(sp, o, s) + min(p.load[i], sp.heaviest[s])/p.weight[s]
 		if best == none || score < bestScore {
 			best, bestScore = s, score
 		}
