Grow the limit of a cold server by successes at the current limit only

Cause: successes left over at a low limit counted for the next steps, so that a step needed no success at the limit before it.

Change: a step resets the count.

--- a/internal/limit/cold.go
+++ b/internal/limit/cold.go
@@ -30,8 +30,9 @@
 	suspect   suspicion
 }
 
-// suspicion is the doubt after a sign that a warm server turned cold. While it is active the server gets no more than its cold limit, so that no
-// request goes to a cold server between the first sign and the confirmation.
+// suspicion is the doubt after a sign that a warm server turned cold. While it is
+// active the server gets no more than its cold limit, so that no request goes to a
+// cold server between the first sign and the confirmation.
 type suspicion struct {
 	active bool
 	since  time.Time
@@ -78,7 +79,7 @@
 func (a *Admission) grow(now time.Time) {
 	c := &a.cold
 	for c.cold && a.earned(now) && !now.Before(a.growsAt()) {
-		c.successes -= successesPerStep * c.limit
+		c.successes = 0 // those of a lower limit say nothing about this one
 		c.limit++
 		c.cold = c.limit < a.cfg.Slots
 	}
