Move the idle slices of a leaving backend server at once

Cause: a leaving server was given up only after its last request in flight, so one long upload kept all its slices without an owner that serves them. Ruled out: a drain record, because it would outlast the restart of the server. Change: while requests are in flight, the dispatcher proposes moves of the slices that the server has given up to their standby; without requests in flight, the loss moves all in one commit. The relay handler caps bodies of unknown length. Conclusion: a planned stop keeps only the busy slices waiting. The control group does not know that the server is leaving and may move slices back to it until its last request ended.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -138,7 +138,7 @@
 		b.PutHost(table.Host{Name: "h1", BackendsAddress: "127.0.0.1:1"})
 		b.PutBackend(rec)
 		b.PutSlice("desk", table.Slice{Start: 0, Owner: "b1", Epoch: 5, State: table.SliceOwned})
-		b.PutSlice("desk", table.Slice{Start: half, Owner: "b1", Epoch: 6, State: table.SliceOwned})
+		b.PutSlice("desk", table.Slice{Start: half, Owner: "b1", Standby: "b2", Epoch: 6, State: table.SliceOwned})
 	})
 	return w
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -73,11 +73,16 @@
 	if want.equal(s.confirmed) {
 		released := s.released()
 		gone := s.leaving && len(want.starts) == 0 && s.total == 0
+		moves := s.moves()
 		s.settled = !s.leaving && !s.releasing()
 		s.mu.Unlock()
-		s.proposeReleased(released)
-		if gone {
+		switch {
+		case len(released.Starts) > 0:
+			s.propose("released", &command.Command{Released: released})
+		case gone:
 			s.proposeLost()
+		case len(moves) > 0:
+			s.propose("moving", &command.Command{Move: &command.Move{Service: s.key.service, Moves: moves}})
 		}
 		return
 	}
@@ -136,6 +141,19 @@
 	return r
 }
 
+// moves returns the moves of the slices that a leaving server has given up
+// while others still have requests in flight; s.mu is held. Without requests in
+// flight, the loss of the server moves all slices in one commit.
+func (s *server) moves() []command.SliceMove {
+	var out []command.SliceMove
+	for _, sl := range s.slices {
+		if s.leaving && sl.State == table.SliceOwned && sl.Standby != "" && !s.confirmed.starts[sl.Start] {
+			out = append(out, command.SliceMove{Start: sl.Start, Epoch: sl.Epoch, To: sl.Standby})
+		}
+	}
+	return out
+}
+
 // push sends the order; for a server that does not check orders it first reads
 // back what the server holds.
 func (s *server) push(ctx context.Context, client *http.Client, rec table.Backend, order wire.Order, read bool) error {
@@ -219,13 +237,6 @@
 	s.wake()
 }
 
-// proposeReleased proposes the released slices until the table shows them.
-func (s *server) proposeReleased(r *command.Released) {
-	if len(r.Starts) > 0 {
-		s.propose("released", &command.Command{Released: r})
-	}
-}
-
 // proposeLost proposes that the lease is over.
 func (s *server) proposeLost() {
 	s.mu.Lock()
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -230,8 +230,9 @@
 	}
 }
 
-// Guards a planned stop of a backend server: no new request, requests in flight
-// end, the server confirms an empty order, and only then it is given up.
+// Guards a planned stop of a backend server: no new request, idle slices move at
+// once, requests in flight end, the server confirms an empty order, and only then
+// it is given up.
 func TestLeavingServerIsEmptied(t *testing.T) {
 	w := newWorld(t, nil).ready()
 	entered, finish := make(chan struct{}), make(chan struct{})
@@ -243,9 +244,15 @@
 	w.d.Announce(context.Background(), a)
 	_, err := w.do(context.Background(), w.request("new", http.MethodPost, "x"))
 	w.Equal(err.Verdict, verdict.NotRun)
+	w.until("move of the idle slice", func() bool {
+		return w.proposed(func(c *command.Command) bool {
+			return c.Move != nil && len(c.Move.Moves) == 1 && c.Move.Moves[0] == command.SliceMove{Start: half, Epoch: 6, To: "b2"}
+		})
+	})
 	w.True(!w.proposed(isLost))
 	close(finish)
 	w.Equal(<-flight, nil)
+	w.pass(retryGap)
 	w.until("loss", func() bool { return w.proposed(isLost) })
 	o, _ := w.b.lastOrder()
 	w.Equal(len(o.Slices), 0)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -61,7 +61,11 @@
 		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBodyTooLarge, "the body exceeds the cap of the dispatcher")
 	}
 	if in.ContentLength != 0 {
-		r.Body = forward.StreamedBody(w, in.Body)
+		body := in.Body
+		if d.cfg.MaxBodyBytes > 0 {
+			body = http.MaxBytesReader(w, body, d.cfg.MaxBodyBytes)
+		}
+		r.Body = forward.StreamedBody(w, body)
 	}
 	forward.RemoveInternal(r.Header)
 	return r, nil
