Leave waits for the sender out of the observed latency

Cause: the latency of an upload included the time in which its caller sent the body, so slow callers made admission expect slow answers, refuse requests that could meet their deadline, and raise the delay before a hedge. Ruled out: ignoring the outcome of uploads, because a server that gets nothing else would stay cold for ever. Change: the request body sums up the waits for its sender; the dispatcher and the picker subtract them. The picker's latency ends with the header of the answer, which is what the hedge delay is compared with. A request refused for the session of the dispatcher is sent again after 250 ms, not only to another dispatcher. Conclusion: admission judges backend servers and not callers.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -228,7 +228,7 @@
 		f.finish(f.failed(ctx, forward.AsError(err)))
 		return nil, err
 	}
-	latency := f.s.d.cfg.Clock.Now().Sub(f.began)
+	latency := f.latency()
 	if e := forward.AnswerVerdict(resp); e != nil {
 		resp.Body.Close()
 		f.finish(limit.Outcome{Latency: latency, Shed: resp.StatusCode == http.StatusServiceUnavailable, Cancelled: resp.StatusCode == http.StatusConflict})
@@ -260,10 +260,16 @@
 
 // failed tells the admission what a failed exchange says of the server.
 func (f *flight) failed(ctx context.Context, e *verdict.Error) limit.Outcome {
-	return limit.Outcome{Latency: f.s.d.cfg.Clock.Now().Sub(f.began), Failed: true,
+	return limit.Outcome{Latency: f.latency(), Failed: true,
 		Cancelled: errors.Is(ctx.Err(), context.Canceled) || e.Reason == verdict.ReasonMoved || e.Reason == verdict.ReasonSession}
 }
 
+// latency is the time since the start without the waits for the sender of the
+// body, which say nothing of the backend server.
+func (f *flight) latency() time.Duration {
+	return max(f.s.d.cfg.Clock.Now().Sub(f.began)-f.r.Body.Waited(), 0)
+}
+
 // finish ends the flight.
 func (f *flight) finish(o limit.Outcome) {
 	s := f.s
--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/forward"
 	"github.com/agatestep/agatestep/internal/service"
 	"github.com/agatestep/agatestep/internal/table"
@@ -122,6 +123,27 @@
 	w.Equal(w.b.ran("before"), 0)
 }
 
+// Guards the admission against slow callers: the time in which an upload waits
+// for its sender is no latency of the backend server.
+func TestLatencyLeavesOutSlowSender(t *testing.T) {
+	w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) { c.Clock = clock.Real{} })
+	w.ready()
+	reader, writer := io.Pipe()
+	r := w.request("slow", http.MethodPost, "")
+	r.Body, r.ContentLength = forward.NewBody(reader, nil), -1
+	s := w.server()
+	f, err := s.admit(context.Background(), 1, r)
+	w.True(err == nil)
+	go func() {
+		w.until("time of the wait", func() bool { return time.Since(f.began) > 30*time.Millisecond })
+		_ = writer.Close()
+	}()
+	resp, failure := f.send(context.Background())
+	w.NoErr(failure)
+	w.True(time.Since(f.began)-f.latency() > 20*time.Millisecond)
+	w.NoErr(resp.Body.Close())
+}
+
 // Guards against work for callers that went away: the connection is closed, and
 // a queued request never runs.
 func TestCancelAndDeadlineInQueue(t *testing.T) {
@@ -133,16 +155,14 @@
 		close(gone)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	first := make(chan *verdict.Error, 1)
-	go func() { _, err := w.do(ctx, w.request("held", http.MethodGet, "")); first <- err }()
+	first := w.async(ctx, w.request("held", http.MethodGet, ""))
 	<-entered
 
 	queuedCtx, cancelQueued := context.WithCancel(context.Background())
-	queued := make(chan *verdict.Error, 1)
-	go func() { _, err := w.do(queuedCtx, w.request("queued", http.MethodPost, "x")); queued <- err }()
-	w.until("queued", func() bool { s := w.server(); s.mu.Lock(); defer s.mu.Unlock(); return s.admission.Queued() == 1 })
+	second := w.async(queuedCtx, w.request("queued", http.MethodPost, "x"))
+	w.until("queued", func() bool { return w.locked(queued) })
 	cancelQueued()
-	err := <-queued
+	err := <-second
 	w.Equal(err.Verdict, verdict.NotRun)
 	w.Equal(err.Reason, verdict.ReasonCancelled)
 
@@ -175,23 +195,31 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) { c.BackendLeaseTTL = 100 * time.Millisecond }).ready()
-			entered, release := make(chan struct{}), make(chan struct{})
-			w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-release }
-			done := make(chan *verdict.Error, 2)
-			go func() { _, err := w.do(context.Background(), w.request("held", http.MethodGet, "")); done <- err }()
-			<-entered
+			finish := w.hold()
 			r := w.request("queued", http.MethodPost, "x")
 			r.Deadline = w.clock.Now().Add(300 * time.Millisecond)
-			queued := make(chan *verdict.Error, 1)
-			go func() { _, err := w.do(context.Background(), r); queued <- err }()
-			w.until("queued", func() bool { s := w.server(); s.mu.Lock(); defer s.mu.Unlock(); return s.admission.Queued() == 1 })
+			second := w.async(context.Background(), r)
+			w.until("queued", func() bool { return w.locked(queued) })
 			lose(w)
-			close(release)
-			w.Equal(<-done, nil)
-			err := <-queued
+			w.Equal(finish(), nil)
+			err := <-second
 			w.True(err != nil)
 			w.Equal(err.Verdict, verdict.NotRun)
 			w.Equal(w.b.ran("queued"), 0)
 		})
 	}
 }
+
+// Guards the basic path: order, lease, one request with its headers.
+func TestRequestCarriesRightsOfDispatcher(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	w.pass(100 * time.Millisecond)
+	body, err := w.do(context.Background(), w.request("r1", http.MethodPost, "hello"))
+	w.Equal(err, nil)
+	w.Equal(body, "hello")
+	w.Equal(headerInt(w.b.last, wire.HeaderEpoch), int64(7))
+	w.Equal(w.b.last.Get(wire.HeaderSlice), "0000000000000000")
+	// The lease of 1 s was counted from clock reading 5000; the deadline is later.
+	w.Equal(headerInt(w.b.last, wire.HeaderStartBy), int64(6000))
+	w.Equal(headerInt(w.b.last, wire.HeaderDeadline), int64(7100))
+}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -206,10 +206,9 @@
 }
 
 func (w *world) confirmed() bool {
-	s := w.server()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.confirmed.known && s.confirmed.epoch == s.rec.Epoch && s.confirmed.lease == s.lease.number
+	return w.locked(func(s *server) bool {
+		return s.confirmed.known && s.confirmed.epoch == s.rec.Epoch && s.confirmed.lease == s.lease.number
+	})
 }
 
 // reorder passes time until an order that failed was sent again and confirmed.
@@ -253,6 +252,32 @@
 	return string(body), nil
 }
 
+// async sends r and gives its error later.
+func (w *world) async(ctx context.Context, r *Request) chan *verdict.Error {
+	done := make(chan *verdict.Error, 1)
+	go func() { _, err := w.do(ctx, r); done <- err }()
+	return done
+}
+
+// hold sends a request that stays in flight until finish is called.
+func (w *world) hold() (finish func() *verdict.Error) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-release }
+	done := w.async(context.Background(), w.request("held", http.MethodPost, "x"))
+	<-entered
+	return func() *verdict.Error { close(release); return <-done }
+}
+
+// locked reports a condition on the state of the server.
+func (w *world) locked(test func(s *server) bool) bool {
+	s := w.server()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return test(s)
+}
+
+func queued(s *server) bool { return s.admission.Queued() == 1 }
+
 func headerInt(h http.Header, name string) int64 {
 	v, _ := strconv.ParseInt(h.Get(name), 10, 64)
 	return v
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -40,9 +40,8 @@
 	w.record(func(r *table.Backend) { r.Epoch = 9 })
 	w.True(w.announce().LeaseMs > 0)
 
-	waiting := make(chan *verdict.Error, 1)
-	go func() { _, err := w.do(context.Background(), w.request("waits", http.MethodPost, "x")); waiting <- err }()
-	w.until("pending", func() bool { s := w.server(); s.mu.Lock(); defer s.mu.Unlock(); return s.pending == 1 })
+	waiting := w.async(context.Background(), w.request("waits", http.MethodPost, "x"))
+	w.until("pending", func() bool { return w.locked(func(s *server) bool { return s.pending == 1 }) })
 	_, err := w.do(context.Background(), w.request("excess", http.MethodPost, "x"))
 	w.Equal(err.Reason, verdict.ReasonNotConfirmed)
 	w.Equal(err.Verdict, verdict.NotRun)
@@ -61,11 +60,7 @@
 // the order but gets no new request.
 func TestReleaseWaitsForRequestsInFlight(t *testing.T) {
 	w := newWorld(t, nil).ready()
-	entered, finish := make(chan struct{}), make(chan struct{})
-	w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-finish }
-	flight := make(chan *verdict.Error, 1)
-	go func() { _, err := w.do(context.Background(), w.request("flight", http.MethodPost, "x")); flight <- err }()
-	<-entered
+	finish := w.hold()
 	w.releaseSlice(0)
 	_, err := w.do(context.Background(), w.request("new", http.MethodPost, "x"))
 	w.Equal(err.Reason, verdict.ReasonMoved)
@@ -76,8 +71,7 @@
 	w.Equal(len(o.Slices), 2)
 	w.True(!w.proposed(func(c *command.Command) bool { return c.Released != nil }))
 
-	close(finish)
-	w.Equal(<-flight, nil)
+	w.Equal(finish(), nil)
 	w.until("released", func() bool { return w.proposed(func(c *command.Command) bool { return c.Released != nil }) })
 	o, _ = w.b.lastOrder()
 	w.Equal(o.Slices, []wire.Range{{First: "8000000000000000", Last: "ffffffffffffffff"}})
@@ -235,11 +229,7 @@
 // it is given up.
 func TestLeavingServerIsEmptied(t *testing.T) {
 	w := newWorld(t, nil).ready()
-	entered, finish := make(chan struct{}), make(chan struct{})
-	w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-finish }
-	flight := make(chan *verdict.Error, 1)
-	go func() { _, err := w.do(context.Background(), w.request("flight", http.MethodPost, "x")); flight <- err }()
-	<-entered
+	finish := w.hold()
 	a := wire.Announcement{Backend: "b1", Service: "desk", Incarnation: "i1", ClockMs: w.clockMs, Leaving: true}
 	w.d.Announce(context.Background(), a)
 	_, err := w.do(context.Background(), w.request("new", http.MethodPost, "x"))
@@ -250,8 +240,7 @@
 		})
 	})
 	w.True(!w.proposed(isLost))
-	close(finish)
-	w.Equal(<-flight, nil)
+	w.Equal(finish(), nil)
 	w.pass(retryGap)
 	w.until("loss", func() bool { return w.proposed(isLost) })
 	o, _ := w.b.lastOrder()
@@ -262,20 +251,15 @@
 // for those in flight and renews their lease meanwhile.
 func TestShutdownWaitsForFlight(t *testing.T) {
 	w := newWorld(t, nil).ready()
-	entered, finish := make(chan struct{}), make(chan struct{})
-	w.b.behave = func(http.ResponseWriter, *http.Request) { close(entered); <-finish }
-	flight := make(chan *verdict.Error, 1)
-	go func() { _, err := w.do(context.Background(), w.request("flight", http.MethodPost, "x")); flight <- err }()
-	<-entered
+	finish := w.hold()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	w.Equal(w.d.Shutdown(ctx), context.Canceled) // does not end before the request
 	_, err := w.do(context.Background(), w.request("new", http.MethodPost, "x"))
 	w.Equal(err.Reason, verdict.ReasonShutdown)
 	w.True(w.announce().LeaseMs > 0)
-	close(finish)
+	w.Equal(finish(), nil)
 	w.Equal(w.d.Shutdown(context.Background()), nil)
-	w.Equal(<-flight, nil)
 	loads := w.d.Loads()
 	w.Equal(loads[0].Slices, []wire.SliceCount{{Start: 0, Count: 1}})
 	w.Equal(loads[0].Keys, []wire.KeyCount{{Hash: 1, Count: 1}})
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -150,12 +150,12 @@
 	}
 }
 
-func (h *Handler) done(c *call, name string, began time.Time, ok bool) {
+// done ends what pick counted.
+func (h *Handler) done(c *call, name string, latency time.Duration, ok bool) {
 	ch := h.chooser(c.file.Service)
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	now := h.cfg.Clock.Now()
-	ch.picker.Done(now, name, now.Sub(began), ok)
+	ch.picker.Done(h.cfg.Clock.Now(), name, latency, ok)
 }
 
 func (h *Handler) hedgeAfter(c *call) (time.Duration, bool) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -18,6 +18,10 @@
 // current; the table is usually replaced within one poll of the control group.
 const shortWait = 100 * time.Millisecond
 
+// sessionWait is the wait for a dispatcher whose session is not valid. It exceeds
+// the renewal interval of sessions (200 ms), after which the session may be back.
+const sessionWait = 250 * time.Millisecond
+
 // untilDeadline is a wait that the context of the request ends.
 const untilDeadline = time.Hour
 
@@ -57,7 +61,9 @@
 	switch e.Reason {
 	case verdict.ReasonMoved, verdict.ReasonBackendRefused, verdict.ReasonConnectionLost:
 		return shortWait, true
-	case verdict.ReasonConnect, verdict.ReasonShutdown, verdict.ReasonSession:
+	case verdict.ReasonSession:
+		return sessionWait, true
+	case verdict.ReasonConnect, verdict.ReasonShutdown:
 		return untilDeadline, true
 	}
 	return 0, false
--- a/internal/entry/unkeyed.go
+++ b/internal/entry/unkeyed.go
@@ -123,19 +123,22 @@
 	return got.resp, nil
 }
 
-// observed sends one attempt and tells the picker how it went.
+// observed sends one attempt and tells the picker how it went. The latency ends
+// with the header of the answer and leaves out the waits for the caller's body.
 func (h *Handler) observed(ctx context.Context, c *call, r route, attempt int) (*http.Response, *verdict.Error) {
 	began := h.cfg.Clock.Now()
 	if !r.usable {
-		h.done(c, r.backend, began, false)
+		h.done(c, r.backend, 0, false)
 		return nil, verdict.Unavailable(verdict.ReasonMoved, "the backend server has no dispatcher")
 	}
 	resp, err := h.attempt(ctx, c, r, attempt)
+	latency := max(h.cfg.Clock.Now().Sub(began)-c.last.Waited(), 0)
 	if err != nil {
-		h.done(c, r.backend, began, false)
+		h.done(c, r.backend, latency, false)
 		return nil, err
 	}
-	resp.Body = &closer{ReadCloser: resp.Body, end: func() { h.done(c, r.backend, began, resp.StatusCode < http.StatusInternalServerError) }}
+	ok := resp.StatusCode < http.StatusInternalServerError
+	resp.Body = &closer{ReadCloser: resp.Body, end: func() { h.done(c, r.backend, latency, ok) }}
 	return resp, nil
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -21,6 +21,7 @@
 	closed  bool
 	read    bool
 	reading bool
+	waited  time.Duration
 }
 
 // NewBody wraps r, which may be nil. stop makes a pending read of r return; it
@@ -49,13 +50,26 @@
 	}
 	b.read, b.reading = true, true
 	b.mu.Unlock()
+	began := time.Now()
 	n, err := b.r.Read(p)
 	b.mu.Lock()
 	b.reading = false
+	b.waited += time.Since(began)
 	b.mu.Unlock()
 	return n, err
 }
 
+// Waited returns the time spent waiting for the sender of the body. A nil body
+// has none.
+func (b *Body) Waited() time.Duration {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waited
+}
+
 // Close implements io.Closer; no read begins after it. It leaves the wrapped
 // reader open.
 func (b *Body) Close() error {
