Apply a new table only to the backend servers that it concerns

Cause: each new table made the dispatcher collect the slices of all its backend servers by a scan of the whole service. Ruled out: an index of slices by owner in the table, which each delta would have to copy. Change: table.ChangedOwners names the owners in chunks that two tables do not share; the dispatcher skips the other backend servers when their record and service file are the same too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,6 +76,7 @@
 
 	mu       sync.Mutex
 	servers  map[serverKey]*server
+	applied  *table.Table // by the last TableChanged
 	closing  bool
 	inFlight int
 	idle     chan struct{} // closed while inFlight is zero
@@ -90,7 +91,7 @@
 // New returns a dispatcher; Run must be called for it to act.
 func New(cfg Config) *Dispatcher {
 	cfg.setDefaults()
-	d := &Dispatcher{cfg: cfg, servers: map[serverKey]*server{}, joining: map[serverKey]bool{}, idle: make(chan struct{})}
+	d := &Dispatcher{cfg: cfg, applied: table.Empty(), servers: map[serverKey]*server{}, joining: map[serverKey]bool{}, idle: make(chan struct{})}
 	close(d.idle)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.graceFrom = cfg.Clock.Now()
@@ -105,6 +106,7 @@
 	now := d.cfg.Clock.Now()
 	seen := map[serverKey]bool{}
 	for _, svc := range t.Services() {
+		var changed map[string]bool
 		for _, b := range t.Backends(svc.File.Service) {
 			if b.Dispatcher != d.cfg.Host {
 				continue
@@ -115,6 +117,13 @@
 			if s == nil {
 				s = newServer(d, key)
 				d.servers[key] = s
+			} else if d.applied.Backend(b.Service, b.Name) == b && d.applied.Service(b.Service).File == svc.File {
+				if changed == nil {
+					changed = t.ChangedOwners(d.applied, b.Service)
+				}
+				if !changed[b.Name] {
+					continue
+				}
 			}
 			s.apply(svc.File, *b, t.SlicesOf(b.Service, b.Name), now)
 		}
@@ -125,6 +134,7 @@
 			delete(d.servers, key)
 		}
 	}
+	d.applied = t
 }
 
 // Run checks leases and retries orders until ctx ends.
--- /dev/null
+++ b/internal/table/changed_test.go
@@ -0,0 +1,41 @@
+package table
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/agatestep/agatestep/internal/service"
+	"pgregory.net/rapid"
+)
+
+// Guards dispatchers against missed changes: a backend server that is not named
+// as changed owns the same slices in both tables.
+func TestChangedOwnersMissesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("b", rapid.IntRange(0, 4).Draw(t, "n")) })
+		state := rapid.SampledFrom([]SliceState{SliceOwned, SliceReleasing})
+		step := func(old *Table, starts *rapid.Generator[uint64], n int) *Table {
+			b := NewBuilder(old.Revision())
+			b.PutService(Service{File: &service.File{Service: "s", Key: &service.KeySource{Header: "K"}}})
+			b.PutSlice("s", Slice{Owner: "b0", State: SliceOwned})
+			for range n {
+				b.PutSlice("s", Slice{Start: starts.Draw(t, "start"), Owner: name.Draw(t, "owner"), Epoch: old.Revision(), State: state.Draw(t, "state")})
+			}
+			next, err := old.Apply(b.Delta(old.Revision() + 1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return next
+		}
+		old := step(Empty(), rapid.Uint64Range(0, 5000), 400) // several chunks
+		next := step(old, rapid.Uint64Range(0, 5000), rapid.IntRange(0, 3).Draw(t, "changes"))
+		changed := next.ChangedOwners(old, "s")
+		for i := range 5 {
+			owner := fmt.Sprint("b", i)
+			if !changed[owner] && !reflect.DeepEqual(old.SlicesOf("s", owner), next.SlicesOf("s", owner)) {
+				t.Fatalf("%s owns other slices and is not named", owner)
+			}
+		}
+	})
+}
