Report closed idle connections as not run and send again at once

Cause: an idle connection that the backend server had closed gave "no connection", after which a keyed request waited for another owner until its deadline, although the same owner could be reached. Ruled out: the replay of http.Transport, because it also replays requests that were written. Change: a connection that breaks before the first write has a reason of its own, connection-lost with not-run, and the request is sent again without a wait. Closing a connection seals it, so a later write does not count as one. Conclusion: a closed idle connection costs one retry and no wait.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -59,7 +59,12 @@
 // usually lost, so its request waits for the next owner.
 func retryKeyed(e *verdict.Error) (wait time.Duration, again bool) {
 	switch e.Reason {
-	case verdict.ReasonMoved, verdict.ReasonBackendRefused, verdict.ReasonConnectionLost:
+	case verdict.ReasonConnectionLost:
+		if e.Verdict == verdict.NotRun { // an idle connection that had been closed
+			return 0, true
+		}
+		return shortWait, true
+	case verdict.ReasonMoved, verdict.ReasonBackendRefused:
 		return shortWait, true
 	case verdict.ReasonSession:
 		return sessionWait, true
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -130,6 +130,7 @@
 // http.Transport waits for before it reports that the connection is closed.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	c.sealed = true // a write after this does not count as one
 	body := c.body
 	c.body = nil
 	c.mu.Unlock()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -181,9 +181,12 @@
 	}
 	e := &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable,
 		Reason: verdict.ReasonConnect, Detail: "no connection to the next hop", Cause: err}
-	if written {
+	switch {
+	case written:
 		e.Verdict, e.Status = verdict.MayHaveRun, http.StatusBadGateway
 		e.Reason, e.Detail = verdict.ReasonConnectionLost, "connection broke before the answer"
+	case x.obtained:
+		e.Reason, e.Detail = verdict.ReasonConnectionLost, "connection broke before the request was written"
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
