--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -18,6 +18,10 @@
 // current; the table is usually replaced within one poll of the control group.
 const shortWait = 100 * time.Millisecond
 
+// sessionWait is the wait for a dispatcher whose session is not valid. It exceeds
+// the renewal interval of sessions (200 ms), after which the session may be back.
+const sessionWait = 250 * time.Millisecond
+
 // untilDeadline is a wait that the context of the request ends.
 const untilDeadline = time.Hour
 
@@ -55,9 +59,16 @@
 // usually lost, so its request waits for the next owner.
 func retryKeyed(e *verdict.Error) (wait time.Duration, again bool) {
 	switch e.Reason {
-	case verdict.ReasonMoved, verdict.ReasonBackendRefused, verdict.ReasonConnectionLost:
+	case verdict.ReasonConnectionLost:
+		if e.Verdict == verdict.NotRun { // an idle connection that had been closed
+			return 0, true
+		}
+		return shortWait, true
+	case verdict.ReasonMoved, verdict.ReasonBackendRefused:
 		return shortWait, true
-	case verdict.ReasonConnect, verdict.ReasonShutdown, verdict.ReasonSession:
+	case verdict.ReasonSession:
+		return sessionWait, true
+	case verdict.ReasonConnect, verdict.ReasonShutdown:
 		return untilDeadline, true
 	}
 	return 0, false
