Wait for keys on every backend server before a kill

Cause: the benchmark waited for an even count of slices, but placement evens out load, and three hot keys outweigh many idle slices. Ruled out: rebalancing that never happens; status showed moves after each return. Change: scripts wait until every backend server owns keys of the load.

--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -171,16 +171,17 @@
 	c.until(ts, "backend server "+args[0], func() bool { return c.serving(args[0]) })
 }
 
-// cmdBalanced waits until the slices are spread over the backend servers.
+// cmdBalanced waits until every backend server that is not lost owns some keys of the load.
 func cmdBalanced(ts *testscript.TestScript, _ bool, _ []string) {
 	c := of(ts)
-	c.until(ts, "balanced backend servers", func() bool {
+	c.until(ts, "keys on every backend server", func() bool {
 		var s admin.Status
 		if c.get("h1", "/v1/status", &s) != nil || len(s.Backends) == 0 {
 			return false
 		}
+		owners := c.owners()
 		for _, b := range s.Backends {
-			if !b.Lost && b.Slices*len(s.Backends)*2 < s.Services[0].Slices {
+			if !b.Lost && owners[b.Backend] == 0 {
 				return false
 			}
 		}
@@ -188,6 +189,20 @@
 	})
 }
 
+// owners counts the keys of the load by the backend server that owns them.
+func (c *cluster) owners() map[string]int {
+	owners := map[string]int{}
+	client := admin.NewClient([]string{c.address("h1", 7104)}, "", nil)
+	for k := range loadKeys {
+		request := admin.ExplainRequest{Path: "/desk/x", Headers: map[string]string{"X-Key": keyName(k)}}
+		var reply admin.ExplainReply
+		if client.Post(context.Background(), "/v1/explain", request, &reply) == nil && reply.State == "owned" {
+			owners[reply.Owner]++
+		}
+	}
+	return owners
+}
+
 // cmdSignal signals a process: signal kill|term|stop|cont NAME
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	c := of(ts)
