--- a/internal/scenario/figures_test.go
+++ b/internal/scenario/figures_test.go
@@ -58,19 +58,42 @@
 // victims chooses what to kill in round n, and a host that stays.
 func (c *cluster) victims(ts *testscript.TestScript, what string, n int) (victims []string, survivor string) {
 	cmdControlHost(ts, false, nil)
-	leader, follower, other := ts.Getenv("LEADER"), ts.Getenv("FOLLOWER"), ts.Getenv("OTHER")
+	leader := ts.Getenv("LEADER")
 	switch what {
 	case "backend-server":
-		return []string{fmt.Sprintf("d%d", 1+n%3)}, leader
-	case "dispatcher":
-		return []string{follower}, other
-	case "leader", "leader-and-dispatcher":
-		// Each host dispatches to the backend server of its data centre, so the
-		// leader is a dispatcher too; a fourth host is needed to kill another one.
-		return []string{leader}, follower
+		return []string{fmt.Sprintf("d%d", 1+n%4)}, leader
+	case "leader":
+		return []string{leader}, ts.Getenv("OTHER")
 	}
-	ts.Fatalf("unknown victim %q", what)
-	return nil, ""
+	dispatcher := c.dispatcherBesides(ts, leader)
+	survivor = ts.Getenv("FOLLOWER")
+	if survivor == dispatcher {
+		survivor = ts.Getenv("OTHER")
+	}
+	if what == "dispatcher" {
+		return []string{dispatcher}, survivor
+	}
+	return []string{leader, dispatcher}, survivor
+}
+
+// dispatcherBesides returns a host other than the leader that dispatches to a
+// backend server with keys of the load. It is no control replica when the
+// leader is killed as well, because two of three replicas must stay.
+func (c *cluster) dispatcherBesides(ts *testscript.TestScript, leader string) (dispatcher string) {
+	c.until(ts, "a dispatcher besides the leader", func() bool {
+		var s admin.Status
+		if c.get(leader, "/v1/status", &s) != nil {
+			return false
+		}
+		owners := c.owners()
+		for _, b := range s.Backends {
+			if b.Dispatcher != leader && owners[b.Backend] > 0 && b.Dispatcher > dispatcher {
+				dispatcher = b.Dispatcher
+			}
+		}
+		return dispatcher != ""
+	})
+	return dispatcher
 }
 
 func (c *cluster) untilAllServed(ts *testscript.TestScript, host string) {
