--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -45,6 +45,20 @@
 	is.Equal(len(g.state.Table().Hosts()), 1)
 }
 
+// Guards against a loop that does not expire sessions, or that does not stop.
+func TestRunExpiresSessions(t *testing.T) {
+	is, g := is.New(t), newGroup()
+	is.True(g.renew(1).Granted)
+	g.clock.Advance(overdue)
+	running, cancel := context.WithCancel(ctx)
+	done, changed := make(chan struct{}), g.state.Changed()
+	go func() { defer close(done); g.Run(running) }()
+	<-changed
+	is.Equal(len(g.state.Table().Hosts()), 0)
+	cancel()
+	<-done
+}
+
 // Guards against a session that is granted without the leader lease, also when the
 // lease ends while a command is being committed.
 func TestNothingIsGrantedWithoutLease(t *testing.T) {
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -76,7 +76,7 @@
 // Elect records the term of a new leader.
 func (f *Fleet) Elect(term uint64) error {
 	if term < f.term {
-		return stalef("term %d is over, the leader of term %d is in office", term, f.term)
+		return stalef("term %d is over, a leader of term %d was elected since", term, f.term)
 	}
 	f.term = term
 	return nil
@@ -105,7 +105,7 @@
 	case l.Joined != 0 && l.Joined != h.Joined:
 		return stalef("host %s joined again at revision %d", name, h.Joined)
 	case l.Term != 0 && l.Term < f.term:
-		return stalef("the loss of host %s was decided in term %d, the leader of term %d is in office", name, l.Term, f.term)
+		return stalef("the loss of host %s was decided in term %d, but a leader of term %d was elected since", name, l.Term, f.term)
 	}
 	h.Absent, h.LostAt = true, index
 	f.changedHosts[name] = true
--- a/internal/table/codec.go
+++ b/internal/table/codec.go
@@ -12,9 +12,10 @@
 // formatVersion is the first value of every encoding. A reader refuses others.
 const formatVersion = 1
 
-// maxPrealloc bounds the elements allocated before they are read, so that a
-// wrong length in the input allocates little.
-const maxPrealloc = 1024
+// minElement is the size in bytes of the smallest slice in the encoding. No list is
+// given room for more elements of this size than the rest of the input can hold,
+// so that a wrong length allocates little.
+const minElement = 6
 
 // Encode returns the binary form of d.
 func (d *Delta) Encode() ([]byte, error) {
@@ -38,7 +39,7 @@
 // DecodeDelta reads the binary form of a delta.
 func DecodeDelta(data []byte) (*Delta, error) {
 	buf := bytes.NewReader(data)
-	r := &reader{dec: msgpack.NewDecoder(buf)}
+	r := &reader{buf: buf, dec: msgpack.NewDecoder(buf)}
 	if v := r.uint(); r.err == nil && v != formatVersion {
 		return nil, errors.Annotatef(ErrInvalid, "format version %d, this program reads %d", v, formatVersion)
 	}
@@ -156,6 +157,7 @@
 
 // reader decodes values until the first error.
 type reader struct {
+	buf *bytes.Reader // what dec has not read yet
 	dec *msgpack.Decoder
 	err error
 }
@@ -208,11 +210,11 @@
 	if n <= 0 || r.err != nil {
 		return nil
 	}
-	out := make([]T, 0, min(n, maxPrealloc))
+	out := make([]T, 0, min(n, r.buf.Len()/minElement+1))
 	for i := 0; i < n && r.err == nil; i++ {
-		var v T
-		read(&v)
-		out = append(out, v)
+		var zero T
+		out = append(out, zero)
+		read(&out[i]) // in place: a variable of its own would be allocated per element
 	}
 	return out
 }
