--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against requests beyond the limit, a queue beyond its bound, and ids
-// that are lost or returned twice, whatever the order of calls.
+// Guards against requests beyond the limit, a queue beyond its bound, requests
+// that wait for an idle server, and ids that are lost or returned twice, whatever the order of calls.
 func TestAdmissionAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Slots: rapid.IntRange(1, 5).Draw(t, "slots"), ColdLimit: rapid.IntRange(0, 6).Draw(t, "cold"),
@@ -57,6 +57,9 @@
 					t.Fatalf("%d is past its deadline and still queued", id)
 				}
 			}
+			if a.Queued() > 0 && running == 0 {
+				t.Fatalf("%d wait for an idle server", a.Queued())
+			}
 			if a.Queued() != len(waits) || a.Queued() > cfg.QueueLen || a.InFlight() != running {
 				t.Fatalf("queued %d of %d, in flight %d of %d", a.Queued(), len(waits), a.InFlight(), running)
 			}
