Hand dispatcher roles over between living hosts

Cause: a restarted host got its dispatcher roles back only after other hosts were lost, so restarts heaped roles on few hosts and kept dispatchers away from the data centres of their backend servers. Ruled out: replacing a dispatcher that has a session, because it may still send; choosing locally on each host, because several hosts would choose at once. A planned stop hands over the same way.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -22,6 +22,27 @@
 	Drain            *Drain            `msgpack:",omitempty"`
 	LeaderElected    *LeaderElected    `msgpack:",omitempty"`
 	Repair           *Repair           `msgpack:",omitempty"`
+	HandOver         *HandOver         `msgpack:",omitempty"`
+	HandedOver       *HandedOver       `msgpack:",omitempty"`
+}
+
+// HandOver asks the dispatcher of a backend server to give its role to another host.
+type HandOver struct {
+	Service string
+	Backend string
+	From    string
+	To      string
+}
+
+// HandedOver records that a dispatcher gave its role up and sends nothing more to
+// the backend server. The role goes to the host that HandOver named, or to the
+// standby dispatcher.
+type HandedOver struct {
+	Service string
+	Backend string
+	From    string
+	// Limit is the number of requests that the backend server bore at once.
+	Limit int
 }
 
 // Repair gives slices of a service the standbys and owners that they lack.
@@ -221,7 +242,7 @@
 	for _, set := range []bool{
 		c.HostJoined != nil, c.HostLost != nil, c.BackendAnnounced != nil, c.BackendLost != nil,
 		c.Released != nil, c.Move != nil, c.Split != nil, c.Publish != nil, c.Drain != nil,
-		c.LeaderElected != nil, c.Repair != nil,
+		c.LeaderElected != nil, c.Repair != nil, c.HandOver != nil, c.HandedOver != nil,
 	} {
 		if set {
 			n++
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/fleet"
 	"github.com/agatestep/agatestep/internal/table"
 )
 
@@ -76,6 +77,9 @@
 			due = append(due, DecideBalance(t, s.File.Service, loads[s.File.Service], l.cfg.MaxMoving)...)
 		}
 	}
+	for _, h := range fleet.PlanHandOvers(t) {
+		due = append(due, command.Command{HandOver: &h})
+	}
 	l.carryOut(ctx, due)
 	return due
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -169,6 +169,10 @@
 		return "", s.fleet.LoseHost(c.HostLost, index)
 	case c.LeaderElected != nil:
 		return "", s.fleet.Elect(c.LeaderElected.Term)
+	case c.HandOver != nil:
+		return "", s.fleet.HandOver(c.HandOver)
+	case c.HandedOver != nil:
+		return "", s.fleet.HandedOver(c.HandedOver, index)
 	case c.BackendAnnounced != nil:
 		return "", s.announce(index, c.BackendAnnounced)
 	case c.BackendLost != nil:
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -107,6 +107,7 @@
 	d.entry.StartShutdown()
 	d.handLeadershipOn(ctx)
 	d.finishCallers(ctx)
+	d.handRolesOn(ctx)
 	if err := d.session.Close(ctx); err != nil {
 		d.logger.Warn("session not handed over; the standby dispatchers take over when it expires", zap.Error(err))
 	}
@@ -132,6 +133,16 @@
 	_ = d.entry.Shutdown(ctx) // waited for again after the hand-over
 }
 
+// handRolesTimeout bounds the hand-over of dispatcher roles before the session
+// is closed, which hands over the rest.
+const handRolesTimeout = time.Second
+
+func (d *Daemon) handRolesOn(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handRolesTimeout)
+	defer cancel()
+	d.dispatcher.HandOver(ctx)
+}
+
 // leadershipTimeout bounds the hand-over of leadership. When it fails, the
 // other replicas elect a leader after their election timeout.
 const leadershipTimeout = 500 * time.Millisecond
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -69,6 +69,11 @@
 		s.mu.Unlock()
 		return
 	}
+	if report := s.handedOver(now); report != nil {
+		s.mu.Unlock()
+		s.propose("dispatcher-handed-over", &command.Command{HandedOver: report})
+		return
+	}
 	want, order := s.plan()
 	if want.equal(s.confirmed) {
 		released := s.released()
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -29,6 +29,8 @@
 	switch {
 	case !s.active || b == nil || b.Dispatcher != s.d.cfg.Host:
 		return refused, table.Slice{}, moved("this host is not the dispatcher of the backend server")
+	case b.NextDispatcher != "" || s.stopping:
+		return refused, table.Slice{}, moved("the dispatcher is being changed")
 	case b.Lost:
 		return refused, table.Slice{}, moved("the backend server is lost")
 	case s.leaving, !r.Keyed && b.Draining:
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -35,6 +35,10 @@
 	lease   lease
 	takenAt time.Time // when this host took over this incarnation
 	leaving bool
+	// stopping is set when this process stops; handOverSince is when the server
+	// stopped getting new requests because its dispatcher changes.
+	stopping      bool
+	handOverSince time.Time
 
 	confirmed  orderState
 	settled    bool      // the order loop has nothing to do until the next change
@@ -86,6 +90,10 @@
 	} else if old.Slots != rec.Slots || old.Address != rec.Address {
 		s.resize(now)
 	}
+	if first && rec.WarmLimit > 0 {
+		s.admission.Resume(now, rec.WarmLimit)
+	}
+	s.beginHandOver(now)
 	s.notify()
 	s.wake()
 }
@@ -106,10 +114,7 @@
 	s.closeIdle()
 	s.admission = limit.New(limit.Config{Slots: s.rec.Slots, ColdLimit: s.file.ColdStart.Limit,
 		Ramp: s.file.ColdStart.Ramp, QueueLen: s.d.cfg.QueueLen}, now)
-	for id, w := range s.waiters {
-		w <- waitAgain
-		delete(s.waiters, id)
-	}
+	s.requeue()
 	cost := s.file.Backend.ConnectionCost
 	// One of the announced connections is kept for orders.
 	s.traffic = forward.NewTransport(forward.TransportConfig{MaxConns: max(s.rec.Connections-1, 1),
@@ -118,6 +123,15 @@
 		OpenInterval: cost, DialTimeout: s.d.cfg.OrderTimeout, IdleTimeout: time.Minute})}
 }
 
+// requeue makes queued requests check again whether they may run; s.mu is held.
+func (s *server) requeue() {
+	for id, w := range s.waiters {
+		s.admission.Cancel(id)
+		w <- waitAgain
+		delete(s.waiters, id)
+	}
+}
+
 func (s *server) closeIdle() {
 	if s.traffic != nil {
 		s.traffic.CloseIdleConnections()
--- a/internal/fleet/backends.go
+++ b/internal/fleet/backends.go
@@ -22,6 +22,9 @@
 		next.Past = old.Past
 		next.Dispatcher, next.StandbyDispatcher = old.Dispatcher, old.StandbyDispatcher
 		next.Epoch = old.Epoch
+		if old.Incarnation == a.Incarnation && !old.Lost {
+			next.NextDispatcher, next.WarmLimit = old.NextDispatcher, old.WarmLimit
+		}
 		if old.Incarnation != a.Incarnation {
 			replaced = !old.Lost
 			next.Past = pushPast(old.Past, old.Incarnation)
@@ -128,6 +131,7 @@
 		return stalef("backend server %s/%s is lost already", ref.Service, ref.Name)
 	}
 	b.Lost, b.LostAt, b.Epoch = true, index, index
+	b.NextDispatcher, b.WarmLimit = "", 0
 	f.changedBackends[ref] = true
 	f.forgetBackends()
 	return nil
--- a/internal/fleet/dispatchers.go
+++ b/internal/fleet/dispatchers.go
@@ -45,10 +45,15 @@
 			}
 			if next != b.Dispatcher {
 				b.Dispatcher, b.Epoch = next, index
+				b.NextDispatcher, b.WarmLimit = "", 0
 				r.dispatch[next]++
 				f.changedBackends[ref] = true
 			}
 		}
+		if b.NextDispatcher != "" && f.Host(b.NextDispatcher) == nil {
+			b.NextDispatcher = ""
+			f.changedBackends[ref] = true
+		}
 		if f.Host(b.StandbyDispatcher) == nil || b.StandbyDispatcher == b.Dispatcher {
 			f.setStandby(r, ref, b)
 		}
--- a/internal/limit/cold.go
+++ b/internal/limit/cold.go
@@ -51,6 +51,19 @@
 	a.cold.suspect = suspicion{}
 }
 
+// Resume starts at the limit that an earlier dispatcher had reached with the same
+// server, instead of the cold limit.
+func (a *Admission) Resume(now time.Time, limit int) {
+	a.TurnCold(now)
+	if !a.cold.cold || limit <= a.cfg.ColdLimit {
+		return
+	}
+	steps, all := min(limit, a.cfg.Slots)-a.cfg.ColdLimit, a.cfg.Slots-a.cfg.ColdLimit
+	a.cold.limit = a.cfg.ColdLimit + steps
+	a.cold.since = now.Add(-a.cfg.Ramp * time.Duration(steps) / time.Duration(all))
+	a.cold.cold = steps < all
+}
+
 // Cold reports whether the server is cold.
 func (a *Admission) Cold(now time.Time) bool {
 	a.grow(now)
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -203,6 +204,20 @@
 	return owners
 }
 
+// cmdDispatcher waits until a host is the dispatcher of a backend server: dispatcher NAME HOST
+func cmdDispatcher(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	c.until(ts, "dispatcher of "+args[0], func() bool {
+		var s admin.Status
+		if c.get("h1", "/v1/status", &s) != nil {
+			return false
+		}
+		return slices.ContainsFunc(s.Backends, func(b admin.BackendStatus) bool {
+			return b.Backend == args[0] && b.Dispatcher == args[1]
+		})
+	})
+}
+
 // cmdSignal signals a process: signal kill|term|stop|cont NAME
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	c := of(ts)
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -44,6 +44,7 @@
 			"judge":         cmdJudge,
 			"control-host":  cmdControlHost,
 			"balanced":      cmdBalanced,
+			"dispatcher":    cmdDispatcher,
 			"wipe":          cmdWipe,
 			"replace":       cmdReplace,
 			"idle":          cmdIdle,
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -47,6 +47,11 @@
 	// Dispatcher and StandbyDispatcher are entry hosts.
 	Dispatcher        string
 	StandbyDispatcher string
+	// NextDispatcher is the host that the dispatcher is to hand its role to.
+	NextDispatcher string
+	// WarmLimit is the limit that the dispatcher before had reached when it handed
+	// the role over; zero after a loss.
+	WarmLimit int
 	// Epoch is the revision of the last change to the incarnation, address, lost
 	// flag or dispatcher of this record, or to the set of slices that the backend
 	// server owns and is not releasing: the epoch of its next order.
