Keep an early refusal of a chunked upload readable

Cause: when a backend server refused a chunked upload early and closed its connection, the close could abort the caller's body before the refusal was taken. Ruled out: aborting only before the first byte of the answer, because half a status line would then wait for the caller's next byte. Change: the abort comes 20 ms after the close and not at all when the answer was taken. The first wait for another route is 40 ms and doubles with each attempt, because the dispatcher's table can be the older one. Conclusion: a refused upload costs the sender no verdict.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -14,9 +14,10 @@
 // maxAttempts bounds the attempts of one request, the first one included.
 const maxAttempts = 4
 
-// shortWait is the wait for a newer table after an answer that the table is not
-// current; the table is usually replaced within one poll of the control group.
-const shortWait = 100 * time.Millisecond
+// shortWait is the first wait for another route after an answer that a table is
+// not current; it doubles with each attempt. Either table may be the older one:
+// while this host waits for its own, the dispatcher may get the newer one.
+const shortWait = 40 * time.Millisecond
 
 // sessionWait is the wait for a dispatcher whose session is not valid. It exceeds
 // the renewal interval of sessions (200 ms), after which the session may be back.
@@ -44,7 +45,7 @@
 		if err == nil {
 			return resp, nil
 		}
-		wait, again := retryKeyed(err)
+		wait, again := retryKeyed(err, attempt)
 		if !again || attempt == maxAttempts || !h.mayRetry(ctx, c, err) {
 			return nil, err
 		}
@@ -57,15 +58,15 @@
 // retryKeyed says whether sending again to the owner of the key can help, and
 // how long to wait for another owner first. An owner that cannot be reached is
 // usually lost, so its request waits for the next owner.
-func retryKeyed(e *verdict.Error) (wait time.Duration, again bool) {
+func retryKeyed(e *verdict.Error, attempt int) (wait time.Duration, again bool) {
 	switch e.Reason {
 	case verdict.ReasonConnectionLost:
 		if e.Verdict == verdict.NotRun { // an idle connection that had been closed
 			return 0, true
 		}
-		return shortWait, true
+		return shortWait << (attempt - 1), true
 	case verdict.ReasonMoved, verdict.ReasonBackendRefused:
-		return shortWait, true
+		return shortWait << (attempt - 1), true
 	case verdict.ReasonSession:
 		return sessionWait, true
 	case verdict.ReasonConnect, verdict.ReasonShutdown:
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -125,15 +125,10 @@
 	return c.writes
 }
 
-// drop forgets body when the answer to its request has begun: nothing waits for
-// a pending read any more, and aborting it would break the caller's connection.
-func (c *conn) drop(body *Body) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.body == body {
-		c.body = nil
-	}
-}
+// abortDelay is the time for Send to take an answer that came before the
+// connection was closed: aborting the body then would break the caller's
+// connection for nothing.
+const abortDelay = 20 * time.Millisecond
 
 // Close implements net.Conn. It ends a pending read of the request body, which
 // http.Transport waits for before it reports that the connection is closed.
@@ -143,11 +138,10 @@
 	body := c.body
 	c.body = nil
 	c.mu.Unlock()
-	err := c.Conn.Close()
 	if body != nil {
-		body.abort()
+		time.AfterFunc(abortDelay, body.abort)
 	}
-	return err
+	return c.Conn.Close()
 }
 
 // seal closes the connection and returns the number of writes that were
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -21,6 +21,7 @@
 	closed  bool
 	read    bool
 	reading bool
+	done    bool
 	waited  time.Duration
 }
 
@@ -76,9 +77,20 @@
 	return nil
 }
 
-// abort closes the body and ends a pending read.
+// answered notes that nothing waits for a pending read any more.
+func (b *Body) answered() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.done = true
+}
+
+// abort closes the body of a request without an answer and ends a pending read.
 func (b *Body) abort() {
 	b.mu.Lock()
+	if b.done {
+		b.mu.Unlock()
+		return
+	}
 	pending := b.reading && !b.closed
 	b.closed = true
 	b.mu.Unlock()
@@ -107,8 +119,8 @@
 	if err != nil {
 		return nil, x.failure(ctx, err)
 	}
-	if x.conn != nil {
-		x.conn.drop(x.body)
+	if x.body != nil {
+		x.body.answered()
 	}
 	if x.refused != nil {
 		// Nothing was written, so this answer belongs to no request of ours.
