Wait at a takeover for requests that the old dispatcher left

Cause: a new dispatcher started at the cold limit while requests of the old one could still run, so a cold server could get more than its limit. Ruled out: waiting until the longest deadline (60 s) has passed. Change: while the server reports more requests in flight than this host sent, nothing runs, for at most 300 ms after the takeover. A server that reports too few, or an upload that takes longer, is not covered.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -18,6 +18,10 @@
 	maxAnnouncementBytes = 64 << 10
 	// soon is the announcement interval while something is about to change.
 	soon = 20 * time.Millisecond
+	// takeoverHold bounds the time in which a new dispatcher waits for requests
+	// that the old one left in flight, because a cold server could not bear both.
+	// Most of them end within it, and it leaves the recovery within 3 s.
+	takeoverHold = 300 * time.Millisecond
 )
 
 // Announce takes an announcement of a backend server whose dispatcher is this
@@ -69,6 +73,9 @@
 		s.admission.TurnCold(now)
 		s.d.cfg.Record("lease-lapsed", s.key.String(), fmt.Sprintf("lease number is now %d", s.lease.number))
 	}
+	if a.Load != nil && a.Load.InFlight > s.admission.InFlight() && now.Before(s.takenAt.Add(takeoverHold)) {
+		s.admission.Hold(now.Add(s.d.cfg.AnnounceInterval / 2))
+	}
 	if a.Leaving && !s.leaving {
 		s.leaving = true
 		s.d.cfg.Record("backend-leaving", s.key.String(), "")
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -180,6 +180,25 @@
 	w.Equal(len(o.Slices), 2) // corrected
 }
 
+// Guards a cold server whose dispatcher changes: the new one sends nothing while
+// the server reports requests of the old one, but does not wait for ever.
+func TestTakeoverWaitsForLeftRequests(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	busy := wire.Announcement{Backend: "b1", Service: "desk", Incarnation: "i1", ClockMs: w.clockMs, Load: &wire.LoadReport{InFlight: 1}}
+	w.d.Announce(context.Background(), busy)
+	second := w.async(context.Background(), w.request("r", http.MethodPost, "x"))
+	w.until("queued", func() bool { return w.locked(queued) })
+	w.sweepOver(90 * time.Millisecond)
+	w.Equal(w.b.ran("r"), 0)
+	w.sweepOver(10 * time.Millisecond)
+	w.Equal(<-second, nil)
+	w.pass(takeoverHold)
+	busy.ClockMs = w.clockMs
+	w.d.Announce(context.Background(), busy)
+	_, err := w.do(context.Background(), w.request("r2", http.MethodPost, "x"))
+	w.Equal(err, nil)
+}
+
 // Guards a frozen server: its order times out, requests are refused as not run,
 // and it is served again after it resumes.
 func TestFrozenServerGetsNoTraffic(t *testing.T) {
