--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -23,44 +23,6 @@
 	mayHaveRun = "may-have-run"
 )
 
-// zeros is a body of n bytes that takes no memory.
-func zeros(n int64) io.Reader { return io.LimitReader(zeroReader{}, n) }
-
-type zeroReader struct{}
-
-func (zeroReader) Read(p []byte) (int, error) { clear(p); return len(p), nil }
-
-func drop(w http.ResponseWriter, _ *http.Request) {
-	c, _, _ := w.(http.Hijacker).Hijack()
-	_ = c.Close()
-}
-
-func fenced(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set(verdict.Header, notRun)
-	w.WriteHeader(http.StatusConflict)
-}
-
-// fencedLate refuses after it read a part of the body.
-func fencedLate(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.ReadFull(r.Body, make([]byte, 4))
-	fenced(w, r)
-}
-
-// times uses the first behaviour n times and the usual one afterwards.
-func (b *backend) times(n int, first func(http.ResponseWriter, *http.Request)) {
-	b.set(func(w http.ResponseWriter, r *http.Request) {
-		b.mu.Lock()
-		n--
-		use := n >= 0
-		b.mu.Unlock()
-		if use {
-			first(w, r)
-			return
-		}
-		echo(w, r)
-	})
-}
-
 func (w *world) putSlice(s table.Slice, hosts ...string) {
 	w.change(func(b *table.Builder) { b.PutSlice("desk", s) }, hosts...)
 }
@@ -245,25 +207,17 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, nil)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			w.NoErr(err)
-			defer listener.Close()
+			relay := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+				conn, _, _ := rw.(http.Hijacker).Hijack()
+				_, _ = io.WriteString(conn, c.answer)
+				_ = conn.Close()
+			}))
+			defer relay.Close()
 			if c.refuse {
-				listener.Close()
+				relay.Close()
 			}
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					_, _ = conn.Read(make([]byte, 4096))
-					_, _ = io.WriteString(conn, c.answer)
-					_ = conn.Close()
-				}
-			}()
 			w.change(func(b *table.Builder) {
-				b.PutHost(table.Host{Name: "h1", RelayAddress: listener.Addr().String()})
+				b.PutHost(table.Host{Name: "h1", RelayAddress: relay.Listener.Addr().String()})
 			}, "h2")
 			got := w.call("h2", http.MethodPost, "/desk/x", "r", strings.NewReader("x"), wire.HeaderTimeoutMs, "200")
 			w.NoErr(got.err)
@@ -292,12 +246,13 @@
 }
 
 // Guards cancellation and deadlines over the relay: the backend server sees its
-// connection close, and the caller is told that the request may have run.
+// connection close, the caller is told that the request may have run, and it
+// cannot ask for more time than the service file allows.
 func TestCancelAndDeadlineReachBackend(t *testing.T) {
-	w := newWorld(t, nil)
+	w := newWorld(t, func(w *world) { w.files["desk"].Deadline.Max = 50 * time.Millisecond })
 	closed := make(chan struct{}, 2)
 	w.backends["b1"].set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); closed <- struct{}{} })
-	got := w.call("h2", http.MethodPost, "/desk/x", "late", nil, wire.HeaderTimeoutMs, "50")
+	got := w.call("h2", http.MethodPost, "/desk/x", "late", nil, wire.HeaderTimeoutMs, "60000")
 	w.Equal(got.status, 504)
 	w.Equal(got.verdict, mayHaveRun)
 	<-closed
@@ -409,12 +364,3 @@
 	w.Equal((<-held).status, 200)
 	w.Equal(w.backends["b1"].ran("late"), 0)
 }
-
-// Guards the deadline of the service file: a caller cannot ask for more.
-func TestCallerTimeoutIsBounded(t *testing.T) {
-	w := newWorld(t, func(w *world) {
-		w.files["desk"].Deadline = service.Deadline{Default: 10 * time.Second, Max: 60 * time.Millisecond}
-	})
-	w.backends["b1"].set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
-	w.Equal(w.call("h1", http.MethodPost, "/desk/x", "r", nil, wire.HeaderTimeoutMs, "60000").status, 504)
-}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -227,3 +227,41 @@
 	return answer{resp.StatusCode, string(got), resp.Header.Get(verdict.Header),
 		verdict.Reason(resp.Header.Get(verdict.ReasonHeader)), resp.Header, err}
 }
+
+// zeros is a body of n bytes that takes no memory.
+func zeros(n int64) io.Reader { return io.LimitReader(zeroReader{}, n) }
+
+type zeroReader struct{}
+
+func (zeroReader) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+func drop(w http.ResponseWriter, _ *http.Request) {
+	c, _, _ := w.(http.Hijacker).Hijack()
+	_ = c.Close()
+}
+
+func fenced(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(verdict.Header, notRun)
+	w.WriteHeader(http.StatusConflict)
+}
+
+// fencedLate refuses after it read a part of the body.
+func fencedLate(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadFull(r.Body, make([]byte, 4))
+	fenced(w, r)
+}
+
+// times uses the first behaviour n times and the usual one afterwards.
+func (b *backend) times(n int, first func(http.ResponseWriter, *http.Request)) {
+	b.set(func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		n--
+		use := n >= 0
+		b.mu.Unlock()
+		if use {
+			first(w, r)
+			return
+		}
+		echo(w, r)
+	})
+}
