--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -213,17 +213,34 @@
 	return nil
 }
 
+// maxStale bounds the idle connections that one request may find closed.
+const maxStale = 3
+
+// exchange sends the request once. A connection that turns out to be closed
+// before anything was written has not carried it, so another one is taken.
+func (f *flight) exchange(ctx context.Context) (*http.Response, error) {
+	for stale := 0; ; stale++ {
+		out, err := f.r.outgoing(ctx, f.address, f.stamp)
+		if err != nil {
+			return nil, err
+		}
+		if f.r.Body != nil {
+			out.Body = f.r.Body
+		}
+		resp, err := forward.Send(ctx, f.transport, out, f.check)
+		if err == nil {
+			return resp, nil
+		}
+		e := forward.AsError(err)
+		if e.Verdict != verdict.NotRun || e.Reason != verdict.ReasonConnectionLost || f.r.Body != nil || stale == maxStale {
+			return nil, e
+		}
+	}
+}
+
 // send forwards the request and checks whose answer comes back.
 func (f *flight) send(ctx context.Context) (*http.Response, error) {
-	out, err := f.r.outgoing(ctx, f.address, f.stamp)
-	if err != nil {
-		f.finish(limit.Outcome{Cancelled: true})
-		return nil, err
-	}
-	if f.r.Body != nil {
-		out.Body = f.r.Body
-	}
-	resp, err := forward.Send(ctx, f.transport, out, f.check)
+	resp, err := f.exchange(ctx)
 	if err != nil {
 		f.finish(f.failed(ctx, forward.AsError(err)))
 		return nil, err
@@ -258,10 +275,11 @@
 	return e
 }
 
-// failed tells the admission what a failed exchange says of the server.
+// failed tells the admission what a failed exchange says of the server. Refusals
+// of this host, stale connections and callers that left say nothing.
 func (f *flight) failed(ctx context.Context, e *verdict.Error) limit.Outcome {
-	return limit.Outcome{Latency: f.latency(), Failed: true,
-		Cancelled: errors.Is(ctx.Err(), context.Canceled) || e.Reason == verdict.ReasonMoved || e.Reason == verdict.ReasonSession}
+	own := e.Verdict == verdict.NotRun && e.Reason != verdict.ReasonConnect
+	return limit.Outcome{Latency: f.latency(), Failed: true, Cancelled: own || errors.Is(ctx.Err(), context.Canceled)}
 }
 
 // latency is the time since the start without the waits for the sender of the
