Apply the preference of a service between availability and tail latency

Cause: the service file states prefer, but nothing read it: hedges went out for every service and no queue bounded its wait. Servers of a service share their usual latency, so that a new one's slow start is noticed. Before and after: the hedging test failed with the default preference and passes with tail_latency.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,12 +86,14 @@
 	lastSweep time.Time
 	joining   map[serverKey]bool // announcements being proposed
 	nextID    uint64
+	typical   latencies
 }
 
 // New returns a dispatcher; Run must be called for it to act.
 func New(cfg Config) *Dispatcher {
 	cfg.setDefaults()
-	d := &Dispatcher{cfg: cfg, applied: table.Empty(), servers: map[serverKey]*server{}, joining: map[serverKey]bool{}, idle: make(chan struct{})}
+	d := &Dispatcher{cfg: cfg, applied: table.Empty(), servers: map[serverKey]*server{}, joining: map[serverKey]bool{},
+		typical: latencies{byService: map[string]time.Duration{}}, idle: make(chan struct{})}
 	close(d.idle)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.graceFrom = cfg.Clock.Now()
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -112,8 +112,7 @@
 // resize replaces the connections and the admission; queued requests queue again.
 func (s *server) resize(now time.Time) {
 	s.closeIdle()
-	s.admission = limit.New(limit.Config{Slots: s.rec.Slots, ColdLimit: s.file.ColdStart.Limit,
-		Ramp: s.file.ColdStart.Ramp, QueueLen: s.d.cfg.QueueLen}, now)
+	s.admission = limit.New(s.limits(), now)
 	s.requeue()
 	cost := s.file.Backend.ConnectionCost
 	// One of the announced connections is kept for orders.
@@ -167,6 +166,7 @@
 func (s *server) sweep(now, grace time.Time, sessionValid bool) {
 	s.mu.Lock()
 	s.pump(now)
+	s.learn()
 	silent := sessionValid && s.silent(now, grace)
 	s.mu.Unlock()
 	if silent {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/agatestep/agatestep/internal/balance"
+	"github.com/agatestep/agatestep/internal/service"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
@@ -159,6 +160,9 @@
 }
 
 func (h *Handler) hedgeAfter(c *call) (time.Duration, bool) {
+	if c.file.Prefer != service.PreferTailLatency {
+		return 0, false
+	}
 	ch := h.chooser(c.file.Service)
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -69,6 +69,9 @@
 	return a
 }
 
+// SetMaxWait changes Config.MaxWait; queued requests are not affected.
+func (a *Admission) SetMaxWait(d time.Duration) { a.cfg.MaxWait = d }
+
 // Offer decides on a new request. A request that has to wait is queued only when
 // it and all queued ones meet their deadlines by the observed service time, so
 // that a refusal comes at once and not after a wait.
