--- a/internal/replication/group_test.go
+++ b/internal/replication/group_test.go
@@ -126,23 +126,24 @@
 	}
 }
 
-// BenchmarkCommit measures the latency of a commit of 200 bytes and the log
-// bytes per change, with three replicas on disk and some concurrent callers.
+// BenchmarkCommit measures the latency of a commit, and the log bytes and syncs of
+// the leader per change, with three replicas on disk and some concurrent callers.
 func BenchmarkCommit(b *testing.B) {
-	for _, callers := range []int{1, 16, 256} {
-		b.Run(fmt.Sprint("callers", callers), func(b *testing.B) {
+	for _, load := range [][2]int{{1, 200}, {16, 200}, {256, 200}, {16, 2000}, {16, 20_000}} {
+		callers := load[0]
+		b.Run(fmt.Sprintf("callers=%d/bytes=%d", callers, load[1]), func(b *testing.B) {
 			g, ctx := newGroup(b, 3), context.Background()
 			g.start(0, 1<<40)
 			var leader *replication.Node
 			g.retry(func(n *replication.Node) error { leader = n; _, err := n.ReadIndex(ctx); return err })
 			var next atomic.Int64
 			var wg sync.WaitGroup
-			before := g.stores[0].BytesWritten()
+			before, syncs := g.stores[0].BytesWritten(), leader.Counters().Syncs
 			b.ResetTimer()
 			for range callers {
 				wg.Go(func() {
 					for next.Add(1) <= int64(b.N) {
-						if _, _, err := leader.Propose(ctx, make([]byte, 200)); err != nil {
+						if _, _, err := leader.Propose(ctx, make([]byte, load[1])); err != nil {
 							b.Error(err)
 						}
 					}
@@ -152,6 +153,7 @@
 			b.StopTimer()
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())*float64(callers)/float64(b.N), "ns/commit")
 			b.ReportMetric(float64(g.stores[0].BytesWritten()-before)/float64(b.N), "log-B/change")
+			b.ReportMetric(float64(leader.Counters().Syncs-syncs)/float64(b.N), "syncs/change")
 			for i := range g.stores {
 				g.node(i).Stop()
 			}
