--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -16,8 +16,8 @@
 func spread(b *testing.B, hosts, services int) *group {
 	g := newGroup()
 	for i := range hosts {
-		dc, address := fmt.Sprint("dc", i%9), fmt.Sprintf("127.1.%d.%d:1", i/250, i%250)
-		g.renew(i, func(r *wire.SessionRenew) { r.Host.DataCentre, r.Host.PeerAddress = dc, address })
+		h := command.HostJoined{Host: fmt.Sprint("h", i), DataCentre: fmt.Sprint("dc", i%9), PeerAddress: fmt.Sprintf("127.1.%d.%d:1", i/250, i%250), RelayAddress: "127.1.0.0:2"}
+		is.New(b).True(g.renew(i, func(r *wire.SessionRenew) { r.Host = h }).Granted)
 	}
 	for s := range services {
 		name := fmt.Sprint("s", s)
@@ -67,11 +67,11 @@
 					begin = time.Now()
 				}
 				report("tick")
-				fresh := hostJoined(hosts)
+				fresh := command.HostJoined{Host: "fresh", DataCentre: "dc1", Instance: "a", PeerAddress: "127.2.0.1:1", RelayAddress: "127.2.0.1:2"}
 				g.must(b, command.Command{HostJoined: &fresh})
 				report("join")
 				for i := range hosts / 9 {
-					g.must(b, command.Command{HostLost: &command.HostLost{Host: fmt.Sprint("h", 9*i+9)}})
+					g.must(b, command.Command{HostLost: &command.HostLost{Host: fmt.Sprint("h", 9*i)}})
 				}
 				report("hosts")
 				for i := range services * 39 {
