Make the tool, the API and the time line say what operators need

Change: the client keeps the least certain outcome over its addresses and proves not-run only for failures to connect; exit status 5 means that no daemon could do it now. The peer listener bounds a handshake to 3 s.

--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -5,9 +5,9 @@
 	"crypto/subtle"
 	"encoding/json"
 	"expvar"
+	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/gorilla/mux"
 	"github.com/juju/errors"
@@ -36,6 +36,8 @@
 func NewHandler(daemon Daemon, token string) http.Handler {
 	a := &api{daemon: daemon, token: token}
 	r := mux.NewRouter()
+	r.NotFoundHandler = refuser(http.StatusNotFound, "the administration API has no such path")
+	r.MethodNotAllowedHandler = refuser(http.StatusMethodNotAllowed, "the path does not take this method")
 	r.Use(a.authorize)
 	r.HandleFunc("/v1/status", a.status).Methods(http.MethodGet)
 	r.HandleFunc("/v1/timeline", a.timeline).Methods(http.MethodGet)
@@ -63,6 +65,10 @@
 	})
 }
 
+func refuser(status int, reason string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { refuse(w, status, reason) })
+}
+
 func (a *api) status(w http.ResponseWriter, _ *http.Request) {
 	respond(w, http.StatusOK, a.daemon.Status())
 }
@@ -191,6 +197,9 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if reply.Refusal == "" && !a.daemon.SessionValid() {
+		reply.Refusal = "this host has no valid session and refuses every request"
+	}
 	respond(w, http.StatusOK, reply)
 }
 
@@ -232,15 +241,20 @@
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		status := http.StatusBadRequest
-		if strings.Contains(err.Error(), "request body too large") {
-			status = http.StatusRequestEntityTooLarge
+	err := decoder.Decode(into)
+	if err == nil {
+		if _, end := decoder.Token(); end == io.EOF {
+			return true
 		}
-		refuse(w, status, "request body: "+err.Error())
-		return false
+		err = errors.New("other data follows the JSON object")
 	}
-	return true
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	refuse(w, status, "request body: "+err.Error())
+	return false
 }
 
 func refuse(w http.ResponseWriter, status int, reason string) {
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -6,11 +6,15 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/verdict"
 )
 
 // Client calls the administration API of any one of several daemons.
@@ -52,6 +56,10 @@
 	return text
 }
 
+// ErrNotReached reports that no connection to a daemon was obtained, so that
+// the request certainly did not run.
+var ErrNotReached = errors.ConstError("daemon not reached")
+
 // Get reads a resource.
 func (c *Client) Get(ctx context.Context, path string, result any) error {
 	return c.try(ctx, http.MethodGet, path, nil, result)
@@ -69,18 +77,31 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	var last error
+	var worst error
 	for _, address := range c.addresses {
-		last = c.once(ctx, method, address, path, raw, result)
+		err := c.once(ctx, method, address, path, raw, result)
 		var remote *RemoteError
-		if last == nil || (errors.As(last, &remote) && remote.Status < http.StatusInternalServerError) {
-			return last
+		if err == nil || (errors.As(err, &remote) && remote.Status < http.StatusInternalServerError) {
+			return err
 		}
+		// Once an attempt may have run, a later one that did not proves nothing.
+		if worst == nil || NotRun(worst) {
+			worst = err
+		}
+	}
+	if worst == nil {
+		return errors.WithType(errors.New("no administration address was given"), ErrNotReached)
 	}
-	if last == nil {
-		return errors.New("no administration address was given")
+	return worst
+}
+
+// NotRun reports whether an error of a Client proves that the request changed nothing.
+func NotRun(err error) bool {
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		return remote.Reply.Outcome == verdict.NotRun.String()
 	}
-	return last
+	return errors.Is(err, ErrNotReached)
 }
 
 func (c *Client) once(ctx context.Context, method, address, path string, body []byte, result any) error {
@@ -95,16 +116,43 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return errors.Trace(err)
+		return notReached(err)
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
 	if response.StatusCode != http.StatusOK {
-		remote := &RemoteError{Address: address, Status: response.StatusCode}
-		if err := decoder.Decode(&remote.Reply); err != nil {
-			remote.Reply = ErrorReply{Error: response.Status, Outcome: "may-have-run"}
-		}
+		return remoteError(address, response)
+	}
+	return errors.Annotatef(json.NewDecoder(response.Body).Decode(result), "answer of %s", url)
+}
+
+// notReached marks a failure to open the connection; after any other failure
+// the request may have been sent.
+func notReached(err error) error {
+	var op *net.OpError
+	var certificate *tls.CertificateVerificationError
+	if (errors.As(err, &op) && op.Op == "dial") || errors.As(err, &certificate) {
+		return errors.WithType(err, ErrNotReached)
+	}
+	return errors.Trace(err)
+}
+
+// maxErrorBytes bounds the body of a refusal; a refused publish lists every mistake.
+const maxErrorBytes = 1 << 20
+
+// remoteError reads a refusal. A body that is not JSON comes from something
+// else than the API, such as a TLS listener that was sent plain HTTP; with a
+// status below 500 it did not take the request.
+func remoteError(address string, response *http.Response) *RemoteError {
+	remote := &RemoteError{Address: address, Status: response.StatusCode}
+	raw, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err := json.Unmarshal(raw, &remote.Reply); err == nil && remote.Reply.Outcome != "" {
 		return remote
 	}
-	return errors.Annotatef(decoder.Decode(result), "answer of %s", url)
+	outcome := verdict.NotRun
+	if response.StatusCode >= http.StatusInternalServerError {
+		outcome = verdict.MayHaveRun
+	}
+	text := strings.TrimSpace(response.Status + " " + string(raw[:min(len(raw), 200)]))
+	remote.Reply = ErrorReply{Error: text, Outcome: outcome.String()}
+	return remote
 }
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -18,6 +18,8 @@
 	// waits until the resulting revision is in force.
 	Operate(ctx context.Context, cmd *command.Command, waitMs int64) (wire.ProposalReply, error)
 	Table() *table.Table
+	// SessionValid reports whether the daemon may route by its table now.
+	SessionValid() bool
 	Status() Status
 	// Timeline returns the events of this process.
 	Timeline(since timeline.Stamp) []timeline.Event
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 
@@ -32,6 +33,9 @@
 	// ExitNotInForce means that the command took effect but is not in force
 	// everywhere within the time to wait.
 	ExitNotInForce = 4
+	// ExitUnavailable means that no daemon could do it now; nothing changed, and
+	// the command may be tried again.
+	ExitUnavailable = 5
 )
 
 // ErrRefused marks an error after which nothing changed.
@@ -43,9 +47,9 @@
 type globals struct {
 	Admin     []string `help:"Administration addresses (IP:port), tried in turn." default:"127.0.0.1:7004" env:"AGATESTEP_ADMIN"`
 	TokenFile string   `help:"File with the administration token." env:"AGATESTEP_TOKEN_FILE"`
-	CertFile  string   `help:"TLS certificate; with --key-file and --ca-file."`
-	KeyFile   string   `help:"TLS key."`
-	CAFile    string   `help:"TLS certificate authority." name:"ca-file"`
+	CertFile  string   `help:"TLS certificate; with --key-file and --ca-file." env:"AGATESTEP_CERT_FILE"`
+	KeyFile   string   `help:"TLS key." env:"AGATESTEP_KEY_FILE"`
+	CAFile    string   `help:"TLS certificate authority." name:"ca-file" env:"AGATESTEP_CA_FILE"`
 	JSON      bool     `help:"Print JSON."`
 }
 
@@ -104,13 +108,18 @@
 		return ExitRefused
 	case errors.Is(err, ErrNotInForce):
 		return ExitNotInForce
-	case errors.As(err, &remote) && remote.Reply.Outcome == "not-run":
+	case errors.As(err, &remote) && remote.Status < http.StatusInternalServerError && admin.NotRun(err):
 		return ExitRefused
+	case admin.NotRun(err), errors.Is(err, errReadOnly):
+		return ExitUnavailable
 	default:
 		return ExitUnknown
 	}
 }
 
+// errReadOnly marks the failure of a command that changes nothing.
+var errReadOnly = errors.ConstError("read only")
+
 func (s *session) client() (*admin.Client, error) {
 	return s.clientFor(s.globals.Admin)
 }
@@ -143,6 +152,9 @@
 	if g.CertFile == "" && g.KeyFile == "" && g.CAFile == "" {
 		return nil, nil
 	}
+	if g.CertFile == "" || g.KeyFile == "" || g.CAFile == "" {
+		return nil, errors.WithType(errors.New("--cert-file, --key-file and --ca-file must be given together"), ErrRefused)
+	}
 	_, config, err := peer.LoadTLS(peer.TLSFiles{CertFile: g.CertFile, KeyFile: g.KeyFile, CAFile: g.CAFile})
 	if err != nil {
 		return nil, errors.WithType(err, ErrRefused)
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -5,7 +5,6 @@
 	"io"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -22,7 +21,7 @@
 	}
 	var status admin.Status
 	if err := client.Get(s.ctx, "/v1/status", &status); err != nil {
-		return err
+		return errors.WithType(err, errReadOnly)
 	}
 	return s.print(status, func(w io.Writer) { printStatus(w, status) })
 }
@@ -32,13 +31,22 @@
 		status.Host, status.DataCentre, status.Session.Valid, status.Session.Revision)
 	if c := status.Control; c != nil {
 		fmt.Fprintf(w, "control replica %s of group %q: leader %s, term %d, applied %d\n",
-			c.Replica, c.Group, c.Leader, c.Term, c.Applied)
+			c.Replica, c.Group, orNone(c.Leader), c.Term, c.Applied)
+		if c.Error != "" {
+			fmt.Fprintf(w, "control replica stopped: %s\n", c.Error)
+		}
 	}
 	if len(status.DataCentresOut) > 0 {
 		fmt.Fprintf(w, "data centres out: %s\n", strings.Join(status.DataCentresOut, ", "))
 	}
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	defer t.Flush()
+	if c := status.Control; c != nil {
+		fmt.Fprintln(t, "\nCONTROL REPLICA\tVOTER")
+		for _, m := range c.Members {
+			fmt.Fprintf(t, "%s\t%v\n", m.Replica, m.Voter)
+		}
+	}
 	fmt.Fprintln(t, "\nSERVICE\tTEAM\tVERSION\tKEYED\tSLICES")
 	for _, v := range status.Services {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%v\t%d\n", v.Service, v.Team, v.Version, v.Keyed, v.Slices)
@@ -54,6 +62,13 @@
 	}
 }
 
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
 func backendState(b admin.BackendStatus) string {
 	switch {
 	case b.Lost:
@@ -84,7 +99,7 @@
 	request := admin.ExplainRequest{Method: c.Method, Host: host, Path: "/" + path, Headers: c.Headers}
 	var reply admin.ExplainReply
 	if err := client.Post(s.ctx, "/v1/explain", request, &reply); err != nil {
-		return err
+		return errors.WithType(err, errReadOnly)
 	}
 	if err := s.print(reply, func(w io.Writer) { printRoute(w, reply) }); err != nil {
 		return err
@@ -96,6 +111,10 @@
 }
 
 func printRoute(w io.Writer, r admin.ExplainReply) {
+	if r.Service == "" {
+		fmt.Fprintf(w, "no service, revision %d\n", r.Revision)
+		return
+	}
 	fmt.Fprintf(w, "service %s, idempotent %v, revision %d\n", r.Service, r.Idempotent, r.Revision)
 	if r.Owner != "" {
 		fmt.Fprintf(w, "key %s, slice %s (%s): backend server %s by dispatcher %s\n",
@@ -118,15 +137,18 @@
 	}
 	var reply admin.TimelineReply
 	if err := client.Get(s.ctx, fmt.Sprintf("/v1/timeline?since=%d", c.Since), &reply); err != nil {
-		return err
+		return errors.WithType(err, errReadOnly)
 	}
 	return s.print(reply, func(w io.Writer) { printTimeline(w, reply) })
 }
 
+// eventTime has a fixed width, so that the columns line up.
+const eventTime = "2006-01-02T15:04:05.000Z"
+
 func printTimeline(w io.Writer, reply admin.TimelineReply) {
 	for _, e := range reply.Events {
 		fmt.Fprintf(w, "%s %d %-10s %-24s %s %s\n",
-			e.Stamp.Wall().UTC().Format(time.RFC3339Nano), uint64(e.Stamp), e.Host, e.Kind, e.Subject, e.Detail)
+			e.Stamp.Wall().UTC().Format(eventTime), uint64(e.Stamp), e.Host, e.Kind, e.Subject, e.Detail)
 	}
 	if len(reply.Unreachable) > 0 {
 		fmt.Fprintf(w, "missing, not reachable: %s\n", strings.Join(reply.Unreachable, ", "))
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -16,10 +16,11 @@
 )
 
 type checkCmd struct {
-	Dir string `arg:"" help:"Folder with service files (*.yaml)."`
+	Dir       string `arg:"" help:"Folder with service files (*.yaml)."`
+	Published bool   `help:"Also judge the files together with the published ones of other teams."`
 }
 
-// Run judges the files offline.
+// Run judges the files offline and, if asked to, against the published ones.
 func (c *checkCmd) Run(s *session) error {
 	files, err := readFiles(c.Dir)
 	if err != nil {
@@ -30,16 +31,46 @@
 		return refuseProblems(s, problems)
 	}
 	reply := admin.CheckReply{Problems: []string{}}
+	if c.Published {
+		if reply, err = s.checkPublished(files); err != nil {
+			return err
+		}
+		if len(reply.Problems) > 0 {
+			return refuseTexts(s, reply)
+		}
+	}
 	return s.print(reply, func(w io.Writer) {
 		fmt.Fprintf(w, "%d service files are valid; all expectations hold\n", len(set.Files))
 	})
 }
 
+func (s *session) checkPublished(files []service.SourceFile) (admin.CheckReply, error) {
+	var reply admin.CheckReply
+	client, err := s.client()
+	if err != nil {
+		return reply, err
+	}
+	err = client.Post(s.ctx, "/v1/check", admin.CheckRequest{Files: commandFiles(files)}, &reply)
+	return reply, errors.WithType(err, errReadOnly)
+}
+
+func commandFiles(files []service.SourceFile) []command.File {
+	out := make([]command.File, 0, len(files))
+	for _, f := range files {
+		out = append(out, command.File{Name: f.Name, Content: f.Content})
+	}
+	return out
+}
+
 func refuseProblems(s *session, problems []service.Problem) error {
 	reply := admin.CheckReply{}
 	for _, p := range problems {
 		reply.Problems = append(reply.Problems, p.String())
 	}
+	return refuseTexts(s, reply)
+}
+
+func refuseTexts(s *session, reply admin.CheckReply) error {
 	err := s.print(reply, func(w io.Writer) {
 		for _, text := range reply.Problems {
 			fmt.Fprintln(w, text)
@@ -48,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	return errors.WithType(errors.Errorf("%d problems found; nothing was published", len(problems)), ErrRefused)
+	return errors.WithType(errors.Errorf("%d problems found; nothing was published", len(reply.Problems)), ErrRefused)
 }
 
 // readFiles reads the service files of a folder in a fixed order.
@@ -99,10 +130,7 @@
 	if _, problems := service.CheckSet(files); len(problems) > 0 {
 		return refuseProblems(s, problems)
 	}
-	request := admin.PublishRequest{RequestID: c.id(), WaitMs: c.Wait.Milliseconds()}
-	for _, f := range files {
-		request.Files = append(request.Files, command.File{Name: f.Name, Content: f.Content})
-	}
+	request := admin.PublishRequest{RequestID: c.id(), Files: commandFiles(files), WaitMs: c.Wait.Milliseconds()}
 	return s.operate("/v1/publish", request, request.RequestID, c.Wait)
 }
 
--- a/internal/cli/repair.go
+++ b/internal/cli/repair.go
@@ -55,7 +55,7 @@
 	}
 	var identity admin.ReplicaIdentity
 	if err := client.Get(s.ctx, "/v1/replica", &identity); err != nil {
-		return nil, err
+		return nil, errors.WithType(err, errReadOnly)
 	}
 	return &identity, nil
 }
@@ -82,5 +82,8 @@
 	}
 	return s.print(identity, func(w io.Writer) {
 		fmt.Fprintf(w, "replica %s on host %s is a voter\n", identity.Replica, identity.Host)
+		if c.Old != "" {
+			fmt.Fprintf(w, "replica %s is no member\n", c.Old)
+		}
 	})
 }
--- a/internal/daemon/adminapi.go
+++ b/internal/daemon/adminapi.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/replication"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/timeline"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -18,6 +21,9 @@
 // Table returns the routing table of this host.
 func (d *Daemon) Table() *table.Table { return d.session.Table() }
 
+// SessionValid reports whether this host may route by its table now.
+func (d *Daemon) SessionValid() bool { return d.session.Valid() }
+
 // Status describes this daemon and the state that it sees.
 func (d *Daemon) Status() admin.Status {
 	t := d.session.Table()
@@ -139,6 +145,9 @@
 	if d.replica == nil {
 		return errors.NewNotValid(nil, noReplica)
 	}
+	if err := d.checkFounders(request.Members); err != nil {
+		return errors.Trace(err)
+	}
 	if err := d.replica.bootstrap(request); err != nil {
 		return errors.Trace(err)
 	}
@@ -146,6 +155,25 @@
 	return nil
 }
 
+// checkFounders refuses a group that is not made of exactly the hosts that the
+// settings list. A list that lacks a host would found a group without it, and
+// one that was founded with a single member loses everything with its disk.
+func (d *Daemon) checkFounders(members []admin.ReplicaIdentity) error {
+	var given, listed []string
+	for _, m := range members {
+		given = append(given, replication.ReplicaID(m.Replica).Host())
+	}
+	for _, r := range d.settings.Control.Replicas {
+		listed = append(listed, r.Host)
+	}
+	slices.Sort(given)
+	slices.Sort(listed)
+	if !slices.Equal(given, listed) {
+		return errors.NewNotValid(nil, fmt.Sprintf("founding members %q differ from the hosts of control.replicas, %q", given, listed))
+	}
+	return nil
+}
+
 // ReplaceReplica has the leader replace a control replica. It may be repeated.
 func (d *Daemon) ReplaceReplica(ctx context.Context, request admin.ReplaceRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 
 	"github.com/juju/errors"
@@ -53,5 +54,10 @@
 
 func (d *Daemon) leaderChanged(leader replication.ReplicaID, term uint64) {
 	d.logger.Info("control leader changed", zap.String("leader", string(leader)), zap.Uint64("term", term))
-	d.events.Record("leader-changed", leader.Host(), "")
+	detail := fmt.Sprintf("term %d", term)
+	if leader == "" {
+		d.events.Record("leader-unknown", d.settings.Control.Group, detail)
+		return
+	}
+	d.events.Record("leader-changed", leader.Host(), detail)
 }
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -34,7 +37,28 @@
 func (d *Daemon) Operate(ctx context.Context, cmd *command.Command, waitMs int64) (wire.ProposalReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout+time.Duration(waitMs)*time.Millisecond+operateGrace)
 	defer cancel()
-	return d.bringToLeader(ctx, wire.MethodOperate, cmd, waitMs)
+	reply, err := d.bringToLeader(ctx, wire.MethodOperate, cmd, waitMs)
+	if err == nil && reply.Result.Code == command.ResultOK {
+		d.recordOperation(cmd, reply.Result)
+	}
+	return reply, err
+}
+
+// recordOperation lets the time line show what operators did before its effects.
+func (d *Daemon) recordOperation(cmd *command.Command, result *command.Result) {
+	switch {
+	case cmd.Publish != nil:
+		detail := fmt.Sprintf("request %s, revision %d", cmd.Publish.RequestID, result.Revision)
+		for _, name := range slices.Sorted(maps.Keys(result.Versions)) {
+			d.events.Record("published", name, fmt.Sprintf("version %d, %s", result.Versions[name], detail))
+		}
+	case cmd.Drain != nil:
+		kind := "restored"
+		if cmd.Drain.Out {
+			kind = "drained"
+		}
+		d.events.Record(kind, cmd.Drain.Name, fmt.Sprintf("%s, request %s, revision %d", cmd.Drain.Kind, cmd.Drain.RequestID, result.Revision))
+	}
 }
 
 // operateGrace lets an operator's command outlive one change of leader.
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -126,7 +127,8 @@
 
 func (r *replica) foundingMembers(request admin.BootstrapRequest) ([]replication.Member, error) {
 	if request.Group != r.store.Identity().Group {
-		return nil, errors.NotValidf("group %q, where this replica's settings name %q,", request.Group, r.store.Identity().Group)
+		return nil, errors.NewNotValid(nil, fmt.Sprintf("group %q differs from control.group of this replica, %q",
+			request.Group, r.store.Identity().Group))
 	}
 	var members []replication.Member
 	for _, m := range request.Members {
@@ -138,11 +140,12 @@
 func sameMembers(current []replication.MemberStatus, wanted []replication.Member) error {
 	for _, m := range wanted {
 		if !slices.ContainsFunc(current, func(c replication.MemberStatus) bool { return c.ID == m.ID }) {
-			return errors.NotValidf("member %q: this replica already belongs to a group without it, and", m.ID)
+			return errors.NewNotValid(nil, fmt.Sprintf("this replica already belongs to a group without %q; "+
+				"an emptied data folder is admitted with replace-replica", m.ID))
 		}
 	}
 	if len(current) != len(wanted) {
-		return errors.NotValidf("list of %d members, where the group has %d,", len(wanted), len(current))
+		return errors.NewNotValid(nil, fmt.Sprintf("%d members were given, but the group has %d", len(wanted), len(current)))
 	}
 	return nil
 }
@@ -182,11 +185,18 @@
 }
 
 func (r *replica) checkReplace(fresh, old replication.ReplicaID) error {
-	if _, known := r.member(fresh); fresh == "" || (!known && fresh.Host() == string(fresh)) {
-		return errors.NotValidf("new replica %q, which must be HOST/INCARNATION,", fresh)
+	current, known := r.member(fresh)
+	if fresh == "" || (!known && fresh.Host() == string(fresh)) {
+		return errors.NewNotValid(nil, fmt.Sprintf("new replica %q must be HOST/INCARNATION", fresh))
 	}
 	if fresh == old {
-		return errors.NotValidf("replacement of %q by itself", old)
+		return errors.NewNotValid(nil, fmt.Sprintf("replica %q cannot replace itself", old))
+	}
+	// The old replica is removed last, so it may only be missing when a repeated
+	// request finds the new one a voter. Otherwise its name is a mistake, and the
+	// lost replica would stay a member.
+	if _, member := r.member(old); old != "" && !member && !current.Voter {
+		return errors.NewNotValid(nil, fmt.Sprintf("replica %q is no member of the group", old))
 	}
 	return nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -68,13 +69,29 @@
 			return errors.Trace(err)
 		}
 		_ = setUserTimeout(conn) // without it a dead connection is only noticed later
-		if config != nil {
-			conn = tls.Server(conn, config)
+		if config == nil {
+			s.start(conn)
+			continue
 		}
-		s.start(conn)
+		go s.startSecured(tls.Server(conn, config))
 	}
 }
 
+// acceptTimeout bounds the TLS handshake of a connection that was opened to
+// this host, so that one without a certificate does not hold a descriptor. It
+// is far above handshakeTimeout, at which daemons give up themselves.
+const acceptTimeout = 3 * time.Second
+
+func (s *Server) startSecured(conn *tls.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.start(conn)
+}
+
 func (s *Server) start(conn net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(conn, lengthCodec{})
 	s.mu.Lock()
