--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -129,7 +129,7 @@
 		}
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, lengthCodec{})
-	return jsonrpc2.NewConn(context.Background(), stream, handlerFunc(refuse)), nil
+	return jsonrpc2.NewConn(context.Background(), stream, handlerFunc(refuse), quiet), nil
 }
 
 func (c *Client) secure(ctx context.Context, raw net.Conn, address string) (net.Conn, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -34,6 +36,8 @@
 	handlers map[string]Handler
 	// ordered methods run in the connection's read loop, one after the other.
 	ordered map[string]bool
+	// acceptTimeout is the constant of this name except in tests.
+	acceptTimeout time.Duration
 
 	mu     sync.Mutex
 	conns  map[*jsonrpc2.Conn]struct{}
@@ -47,6 +51,8 @@
 		handlers: map[string]Handler{},
 		ordered:  map[string]bool{},
 		conns:    map[*jsonrpc2.Conn]struct{}{},
+
+		acceptTimeout: acceptTimeout,
 	}
 }
 
@@ -83,7 +89,7 @@
 const acceptTimeout = 3 * time.Second
 
 func (s *Server) startSecured(conn *tls.Conn) {
-	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.acceptTimeout)
 	defer cancel()
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
@@ -100,7 +106,7 @@
 		_ = conn.Close()
 		return
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), stream, handlerFunc(s.handle))
+	rpc := jsonrpc2.NewConn(context.Background(), stream, handlerFunc(s.handle), quiet)
 	s.conns[rpc] = struct{}{}
 	go func() {
 		<-rpc.DisconnectNotify()
@@ -124,6 +130,10 @@
 	}
 }
 
+// quiet keeps the library from writing a line to the standard log for each
+// connection that breaks; callers get the error.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 type handlerFunc func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request)
 
 // Handle implements jsonrpc2.Handler.
