--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -34,6 +34,8 @@
 	prefix string // first three bytes of the addresses
 	procs  map[string]*process
 	load   *load
+	// gapsFrom is the end of the last span that figures were printed for.
+	gapsFrom time.Time
 }
 
 type process struct {
--- a/internal/scenario/figures_test.go
+++ b/internal/scenario/figures_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"testing"
@@ -14,10 +16,19 @@
 )
 
 // BenchmarkFigures measures times of real processes. It is no test, because
-// the times depend on what else the machine does.
+// the times depend on what else the machine does. FIGURES names one script.
 func BenchmarkFigures(b *testing.B) {
 	p := params("testdata/figures")
 	p.Cmds["recover"] = cmdRecover
+	p.Cmds["drain-time"] = cmdDrainTime
+	p.Cmds["gaps"] = cmdGaps
+	p.Cmds["latency"] = cmdLatency
+	p.Cmds["throughput"] = cmdThroughput
+	p.Cmds["heap"] = cmdHeap
+	p.Cmds["upload"] = cmdUpload
+	if script := os.Getenv("FIGURES"); script != "" {
+		p.Dir, p.Files = "", []string{filepath.Join("testdata/figures", script+".txtar")}
+	}
 	testscript.RunT(benchmarkT{b}, p)
 }
 
--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -126,8 +126,9 @@
 // load sends non-idempotent requests, each with an id of its own, and notes
 // what its callers were told.
 type load struct {
-	stop chan struct{}
-	wg   sync.WaitGroup
+	stop  chan struct{}
+	began time.Time
+	wg    sync.WaitGroup
 
 	mu       sync.Mutex
 	verdicts map[string]verdict.Verdict
@@ -146,9 +147,9 @@
 		c.load.wg.Wait()
 		return
 	}
-	c.load = &load{stop: make(chan struct{}), verdicts: map[string]verdict.Verdict{}, details: map[string]string{}}
-	for w := range 2 * len(args[1:]) {
-		c.load.wg.Go(func() { c.load.run(c, args[1+w%len(args[1:])], w) })
+	c.load = &load{began: time.Now(), stop: make(chan struct{}), verdicts: map[string]verdict.Verdict{}, details: map[string]string{}}
+	for key := range loadKeys {
+		c.load.wg.Go(func() { c.load.run(c, args[1:], key) })
 	}
 }
 
@@ -163,25 +164,29 @@
 	return n
 }
 
-// run sends requests to one host, and leaves it for h1 when it says that it is
-// stopping, as a load balancer does.
-func (l *load) run(c *cluster, host string, worker int) {
+// loadPause is the time between the requests of one key.
+const loadPause = 20 * time.Millisecond
+
+// run sends the requests of one key to one of the hosts. Like a load balancer, it
+// leaves a host that cannot be reached, is stopping or has no session.
+func (l *load) run(c *cluster, hosts []string, key int) {
+	at := key
 	for n := 0; ; n++ {
 		select {
 		case <-l.stop:
 			return
-		case <-time.After(2 * time.Millisecond):
+		case <-time.After(loadPause):
 		}
-		id := fmt.Sprintf("w%d-%d", worker, n)
-		_, v, body := c.send(host, http.MethodPost, keyName((worker+n)%loadKeys), id, 500*time.Millisecond)
+		id := fmt.Sprintf("k%d-%d", key, n)
+		status, v, body := c.send(hosts[at%len(hosts)], http.MethodPost, keyName(key), id, 500*time.Millisecond)
 		l.mu.Lock()
 		l.verdicts[id] = v
 		if v != verdict.Answered {
 			l.details[id] = body
 		}
-		if strings.Contains(body, string(verdict.ReasonShutdown)) {
-			host = "h1"
-		}
 		l.mu.Unlock()
+		if status == 0 || strings.Contains(body, string(verdict.ReasonShutdown)) || strings.Contains(body, string(verdict.ReasonSession)) {
+			at++
+		}
 	}
 }
