Wait less for a silent backend server after its dispatcher's session expired

Cause: a new dispatcher waited a full lease (1.01 s) before it gave up a silent backend server, although the expiry of the old dispatcher's session already ends every lease it granted. A dispatcher that was handing its role over still granted leases, which the next one could not know of. Ruled out: a shorter wait after every change, because after an orderly one the old lease may go on. Change: the loss names the revision up to which leases are over; a new dispatcher then waits three announcements (600 ms). No lease is granted once a role is being given up. TestTakeoverOfSilentServer fails without either part.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -83,6 +83,10 @@
 	// a later leader was elected meanwhile. Zero means any.
 	Joined uint64
 	Term   uint64
+	// LeasesOver is a revision: every lease that this host or an earlier dispatcher
+	// granted to the backend servers that the host dispatches to by that revision
+	// is over. Zero says nothing.
+	LeasesOver uint64
 }
 
 // BackendAnnounced records a new backend server or a new incarnation of one.
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -26,6 +26,9 @@
 	Term  uint64
 	// GraceOver is set when every session of earlier leaders is surely over.
 	GraceOver bool
+	// LeasesOver is set when no dispatcher changed in an orderly way within the
+	// longest lease, so that a lost dispatcher leaves no lease behind.
+	LeasesOver bool
 	// Live are the hosts that have a session or are opening one.
 	Live map[string]bool
 }
@@ -39,9 +42,14 @@
 	}
 	var out []command.Command
 	for _, h := range v.Table.Hosts() {
-		if !v.Live[h.Name] {
-			out = append(out, command.Command{HostLost: &command.HostLost{Host: h.Name, Joined: h.Joined, Term: v.Term}})
+		if v.Live[h.Name] {
+			continue
 		}
+		lost := &command.HostLost{Host: h.Name, Joined: h.Joined, Term: v.Term}
+		if v.LeasesOver {
+			lost.LeasesOver = v.Table.Revision()
+		}
+		out = append(out, command.Command{HostLost: lost})
 	}
 	return out
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -102,6 +102,9 @@
 	again    bool      // the next decision is due at once
 	wake     chan struct{}
 	election singleflight.Group
+	// orderly is when a dispatcher last began to give its role up in an orderly
+	// way; leases that it granted before may go on for a while.
+	orderly time.Time
 }
 
 // NewLeader returns a Leader that does nothing before its first call.
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -36,6 +36,8 @@
 func (l *Leader) Propose(ctx context.Context, req wire.Proposal) wire.ProposalReply {
 	if c, err := command.Decode(req.Command); err != nil || c.Count() != 1 {
 		return wire.ProposalReply{Status: wire.ProposalDropped, Reason: "the proposal is not a command"}
+	} else if c.HandedOver != nil {
+		l.noteOrderly()
 	}
 	_, encoded, err := l.cfg.Proposer.Propose(ctx, req.Command)
 	if err != nil {
@@ -52,6 +54,13 @@
 	return reply
 }
 
+// noteOrderly is called before an orderly change of dispatcher is proposed.
+func (l *Leader) noteOrderly() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orderly = l.cfg.Clock.Now()
+}
+
 func (l *Leader) failedProposal(err error) wire.ProposalReply {
 	reply := wire.ProposalReply{Status: wire.ProposalUnknown, Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
 	switch {
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -109,7 +109,8 @@
 	if !ok {
 		return View{}, false
 	}
-	v := View{Table: l.cfg.State.Table(), Term: r.term, GraceOver: !r.inGrace(), Live: map[string]bool{}}
+	v := View{Table: l.cfg.State.Table(), Term: r.term, GraceOver: !r.inGrace(),
+		LeasesOver: r.now.Sub(l.orderly) > l.sessionSpan(), Live: map[string]bool{}}
 	for host, s := range l.sessions {
 		v.Live[host] = s.live(r.now)
 	}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -63,6 +63,7 @@
 	l.mu.Lock()
 	term := l.term
 	l.mu.Unlock()
+	l.noteOrderly()
 	record, _ := l.cfg.State.host(host)
 	_, err := l.commit(ctx, command.Command{HostLost: &command.HostLost{
 		Host: host, Planned: true, Joined: record.Joined, Term: term,
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -52,7 +52,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case !s.active:
+	case !s.active || s.handingOver():
+		// No lease is granted once the role is given up: the next dispatcher counts
+		// from its takeover on.
 		return s.d.noLease(soon, "the dispatcher is changing")
 	case a.Incarnation != s.rec.Incarnation:
 		return s.d.noLease(soon, "the lease of another incarnation is not over")
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -335,3 +335,28 @@
 	_, body := post(fmt.Sprintf(good, "b1", "i1", w.b.address()))
 	w.True(strings.Contains(body, `"lease_ms":77`) && relayed == 1)
 }
+
+// Guards the wait of a new dispatcher for a silent backend server: short only when
+// no earlier lease goes on, and no lease is granted after the role is given up.
+func TestTakeoverOfSilentServer(t *testing.T) {
+	for _, over := range []bool{true, false} {
+		w := newWorld(t, nil)
+		w.record(func(r *table.Backend) { r.Dispatcher = "h2" })
+		w.sweepOver(2 * time.Second)
+		w.record(func(r *table.Backend) { r.Dispatcher, r.LeaseOver = "h1", over })
+		w.sweepOver(500 * time.Millisecond)
+		w.True(!w.proposed(isLost))
+		w.sweepOver(200 * time.Millisecond)
+		if !over {
+			w.sweepOver(300 * time.Millisecond)
+			w.True(!w.proposed(isLost)) // a lease of the dispatcher before may go on
+			w.sweepOver(100 * time.Millisecond)
+		}
+		w.until("loss", func() bool { return w.proposed(isLost) })
+	}
+	w := newWorld(t, nil).ready()
+	w.record(func(r *table.Backend) { r.NextDispatcher = "h2" })
+	reply := w.d.Announce(context.Background(), wire.Announcement{Backend: "b1", Service: "desk", Incarnation: "i1", ClockMs: w.clockMs + 1})
+	w.Equal(reply.LeaseMs, int64(0))
+	w.until("report", func() bool { return w.proposed(func(c *command.Command) bool { return c.HandedOver != nil }) })
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -175,6 +175,20 @@
 	s.wake()
 }
 
+// missedAnnouncements is how many intervals a backend server without a lease may
+// stay silent after its dispatcher changed. It announces itself to any host once
+// its dispatcher is gone, so a live one is heard within two.
+const missedAnnouncements = 3
+
+// takeoverPatience is how long a new dispatcher waits for the first announcement.
+// A lease of the dispatcher before may go on unless that one's session expired.
+func (s *server) takeoverPatience() time.Duration {
+	if s.rec.LeaseOver {
+		return missedAnnouncements * s.d.cfg.AnnounceInterval
+	}
+	return scale(s.d.cfg.BackendLeaseTTL, 1+s.d.cfg.MaxClockDrift)
+}
+
 // silent reports whether the lease is surely over and the server had a full
 // lease period to announce itself to this host; s.mu is held.
 func (s *server) silent(now, grace time.Time) bool {
@@ -187,7 +201,7 @@
 		if over := s.lease.surelyOver(drift); over.After(end) {
 			end = over
 		}
-	} else if since := s.takenAt.Add(scale(s.d.cfg.BackendLeaseTTL, 1+drift)); since.After(end) {
+	} else if since := s.takenAt.Add(s.takeoverPatience()); since.After(end) {
 		end = since
 	}
 	return now.After(end)
--- a/internal/fleet/dispatchers.go
+++ b/internal/fleet/dispatchers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/table"
 )
 
@@ -45,7 +46,7 @@
 			}
 			if next != b.Dispatcher {
 				b.Dispatcher, b.Epoch = next, index
-				b.NextDispatcher, b.WarmLimit = "", 0
+				b.NextDispatcher, b.WarmLimit, b.LeaseOver = "", 0, false
 				r.dispatch[next]++
 				f.changedBackends[ref] = true
 			}
@@ -60,6 +61,18 @@
 	}
 }
 
+// withoutLease returns the backend servers of a lost dispatcher that hold no lease.
+// One that changed after the decision may hold a lease of its dispatcher before.
+func (f *Fleet) withoutLease(l *command.HostLost) []*Backend {
+	var out []*Backend
+	for _, b := range f.backends {
+		if b.Dispatcher == l.Host && !b.Lost && b.Epoch <= l.LeasesOver {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 func (f *Fleet) setStandby(r *roles, ref table.BackendRef, b *Backend) {
 	next := r.pickStandby(b, f.Host(b.Dispatcher))
 	if next == b.StandbyDispatcher {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -200,3 +200,20 @@
 	}
 	return out
 }
+
+// Guards against a lease that is taken for over although its dispatcher handed
+// the role on just before the next one was lost.
+func TestLeaseOverOnlyAfterLossesDecidedLater(t *testing.T) {
+	is := is.New(t)
+	f := full(t)
+	first, second := table.BackendRef{Service: "s", Name: "b0"}, table.BackendRef{Service: "s", Name: "b3"}
+	lost := f.backends[first].Dispatcher
+	is.NoErr(f.HandOver(&command.HandOver{Service: "s", Backend: "b3", From: f.backends[second].Dispatcher, To: lost}))
+	is.NoErr(f.HandedOver(&command.HandedOver{Service: "s", Backend: "b3", From: f.backends[second].Dispatcher}, 101))
+	is.NoErr(f.LoseHost(&command.HostLost{Host: lost, LeasesOver: 100}, 102))
+	is.True(f.backends[first].LeaseOver)
+	is.True(!f.backends[second].LeaseOver) // taken over at 101, after the decision
+	next := f.backends[first].Dispatcher
+	is.NoErr(f.LoseHost(&command.HostLost{Host: next, Planned: true}, 103))
+	is.True(!f.backends[first].LeaseOver)
+}
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -37,7 +37,7 @@
 		return stalef("no other host can take over %s/%s", h.Service, h.Backend)
 	}
 	b.Dispatcher, b.Epoch = next, index
-	b.NextDispatcher, b.WarmLimit = "", h.Limit
+	b.NextDispatcher, b.WarmLimit, b.LeaseOver = "", h.Limit, false
 	f.changedBackends[ref] = true
 	if b.StandbyDispatcher == next || b.StandbyDispatcher == "" {
 		f.setStandby(f.countRoles(), ref, b)
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -109,7 +109,11 @@
 	}
 	h.Absent, h.LostAt = true, index
 	f.changedHosts[name] = true
+	free := f.withoutLease(l)
 	f.assignDispatchers(index, f.sortedBackends()...)
+	for _, b := range free {
+		b.LeaseOver = true
+	}
 	f.forgetHosts()
 	return nil
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -47,6 +47,9 @@
 	// Dispatcher and StandbyDispatcher are entry hosts.
 	Dispatcher        string
 	StandbyDispatcher string
+	// LeaseOver is set when every lease of the dispatchers before had ended by the
+	// takeover of this one.
+	LeaseOver bool
 	// NextDispatcher is the host that the dispatcher is to hand its role to.
 	NextDispatcher string
 	// WarmLimit is the limit that the dispatcher before had reached when it handed
