--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -44,10 +43,6 @@
 	return control.LeaderStatus{IsLeader: true, LeaderHost: "h0", Term: 1, LeaseUntil: time.Now().Add(time.Hour)}
 }
 
-func handler[P, R any](f func(context.Context, P) R) peer.Handler {
-	return peer.Handle(func(ctx context.Context, p P) (R, error) { return f(ctx, p), nil })
-}
-
 // newGroup returns a group in which entry hosts have sessions, and the listener of its leader.
 func newGroup(b *testing.B, hosts int) (*group, *counted) {
 	g, l, server := &group{state: control.NewState(control.Checker{})}, listen(b), peer.NewServer(timeline.NewClock(time.Now))
@@ -55,16 +50,20 @@
 	for i := range hosts {
 		is.New(b).True(g.leader.Renew(b.Context(), renewal(g, i)).Granted)
 	}
-	server.Register(wire.MethodSessionRenew, handler(g.leader.Renew))
-	server.Register(wire.MethodTableWatch, handler(g.leader.Watch))
+	server.Register(wire.MethodSessionRenew, peer.Handle(func(ctx context.Context, r wire.SessionRenew) (wire.SessionReply, error) {
+		return g.leader.Renew(ctx, r), nil
+	}))
+	server.Register(wire.MethodTableWatch, peer.Handle(func(ctx context.Context, r wire.TableWatch) (wire.TableReply, error) {
+		return g.leader.Watch(ctx, r), nil
+	}))
 	go func() { _ = server.Serve(l, nil) }()
 	b.Cleanup(server.Close)
 	return g, l
 }
 
-func renewal(g *group, i int) wire.SessionRenew {
+func renewal(g *group, i int, loads ...wire.SliceLoads) wire.SessionRenew {
 	a := func(port int) string { return fmt.Sprintf("10.200.%d.%d:%d", i/250, i%250, port) }
-	return wire.SessionRenew{Instance: "1f0e9a7c3b5d2846", Applied: g.state.Table().Revision(), Host: command.HostJoined{
+	return wire.SessionRenew{Instance: "1f0e9a7c3b5d2846", Applied: g.state.Table().Revision(), Loads: loads, Host: command.HostJoined{
 		Host: fmt.Sprintf("entry-%04d", i), DataCentre: fmt.Sprint("dc", i%9), PeerAddress: a(7001), RelayAddress: a(7002), BackendsAddress: a(7003), AdminAddress: a(7004)}}
 }
 
@@ -120,14 +119,13 @@
 			for s := 0; s < size[1]; s += 64 {
 				load := wire.SliceLoads{Service: "service-01", Backend: name(s), BusyMs: 900}
 				for i := range uint64(64) {
-					load.Slices = append(load.Slices, wire.SliceCount{Start: math.MaxUint64 / 23_000 * (uint64(s) + i), Count: 40})
-					load.Keys = append(load.Keys[:min(i, 15)], wire.KeyCount{Hash: math.MaxUint64 / 9973 * (uint64(s) + i), Count: 40})
+					load.Slices = append(load.Slices, wire.SliceCount{Start: (1<<64 - 1) / 23_000 * (uint64(s) + i), Count: 40})
+					load.Keys = append(load.Keys[:min(i, 15)], wire.KeyCount{Hash: (1<<64 - 1) / 9973 * (uint64(s) + i), Count: 40})
 				}
 				loads = append(loads, load)
 			}
 			l.measure(b, 1, func(n int) {
-				req, reply := renewal(g, n%size[0]), wire.SessionReply{}
-				req.Loads = loads
+				req, reply := renewal(g, n%size[0], loads...), wire.SessionReply{}
 				is.True(client.Call(b.Context(), l.Addr().String(), wire.MethodSessionRenew, req, &reply) == nil && reply.Granted)
 			})
 		})
@@ -138,8 +136,8 @@
 // poll is a watch that ends without a change. The figures are per change and host.
 func BenchmarkWatch(b *testing.B) {
 	for i, hosts := range []int{30, 100, 300, 30, 100, 300} {
-		change := i < 3
-		b.Run(fmt.Sprint(map[bool]string{true: "change", false: "poll"}[change], "/hosts=", hosts), func(b *testing.B) {
+		addresses := 2 - i/3
+		b.Run(fmt.Sprint([]string{"change", "poll"}[i/3], "/hosts=", hosts), func(b *testing.B) {
 			is, sessions := is.New(b), []*session.Session{}
 			g, l := newGroup(b, hosts)
 			watch := func(s *session.Session) { is.NoErr(s.Watch(b.Context())) }
@@ -151,10 +149,9 @@
 				watch(sessions[i])
 			}
 			l.measure(b, hosts, func(n int) {
-				if req := renewal(g, 0); change {
-					req.Host.AdminAddress = fmt.Sprint("10.200.0.0:", 8000+n%2)
-					is.True(g.leader.Renew(b.Context(), req).Granted)
-				}
+				req := renewal(g, 0)
+				req.Host.AdminAddress = fmt.Sprint("10.200.0.0:", 8000+n%addresses)
+				is.True(g.leader.Renew(b.Context(), req).Granted)
 				var wg sync.WaitGroup
 				for _, s := range sessions {
 					wg.Go(func() { watch(s) })
@@ -174,7 +171,7 @@
 		d.PutBackend(table.Backend{Name: name(i), Service: "service-00", Incarnation: "1f0e9a7c3b5d2846", Address: address, Slots: 4, Connections: 110, ChecksOrders: true, Epoch: 1, Dispatcher: map[bool]string{true: "h0"}[i < own]})
 	}
 	for i := range servers * slices {
-		d.PutSlice("service-00", table.Slice{Start: math.MaxUint64 / uint64(servers*slices) * uint64(i), Owner: name(i % servers), Epoch: 1, State: table.SliceOwned})
+		d.PutSlice("service-00", table.Slice{Start: (1<<64 - 1) / uint64(servers*slices) * uint64(i), Owner: name(i % servers), Epoch: 1, State: table.SliceOwned})
 	}
 	t, _ := table.Empty().Apply(d.Delta(1))
 	out := dispatch.New(dispatch.Config{Host: "h0", Tables: func() *table.Table { return t }, Record: record, BackendLeaseTTL: time.Minute, SessionValidUntil: func() time.Time { return time.Now().Add(time.Hour) }})
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -42,8 +42,7 @@
 // that, it joins a host. It runs five times; use -benchtime 1x and no -count.
 func BenchmarkDataCentreLost(b *testing.B) {
 	for _, services := range []int{1, 5, 20} {
-		hosts := services * 45
-		from := spread(b, hosts, services)
+		hosts, from := services*45, spread(b, services*45, services)
 		data, _ := from.state.Snapshot()
 		run := func(b *testing.B) {
 			heap := func() float64 {
@@ -67,8 +66,7 @@
 					begin = time.Now()
 				}
 				report("tick")
-				fresh := command.HostJoined{Host: "fresh", DataCentre: "dc1", Instance: "a", PeerAddress: "127.2.0.1:1", RelayAddress: "127.2.0.1:2"}
-				g.must(b, command.Command{HostJoined: &fresh})
+				g.must(b, command.Command{HostJoined: &command.HostJoined{Host: "fresh", DataCentre: "dc1", PeerAddress: "127.2.0.1:1", RelayAddress: "127.2.0.1:2"}})
 				report("join")
 				for i := range hosts / 9 {
 					g.must(b, command.Command{HostLost: &command.HostLost{Host: fmt.Sprint("h", 9*i)}})
--- a/internal/replication/group_test.go
+++ b/internal/replication/group_test.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// BenchmarkCommit measures the latency of a commit, and the log bytes and syncs of
-// the leader per change, with three replicas on disk and some concurrent callers.
+// BenchmarkCommit measures the latency of a commit, and the syncs and the log
+// bytes per change, with three replicas on disk and some concurrent callers.
 func BenchmarkCommit(b *testing.B) {
 	for _, load := range [][2]int{{1, 200}, {16, 200}, {256, 200}, {16, 2000}, {16, 20_000}} {
 		callers := load[0]
