Compare standbys with the joining host only

Cause: the join of a host compared every backend server with every host, in the goroutine of the log: 3.6, 67 and 970 ms at 45, 225 and 900 hosts, and the last cost the leader its lease. Ruled out: doing it outside the log's goroutine, since all replicas must come to the same standbys.

--- a/internal/fleet/dispatchers.go
+++ b/internal/fleet/dispatchers.go
@@ -74,7 +74,10 @@
 }
 
 func (f *Fleet) setStandby(r *roles, ref table.BackendRef, b *Backend) {
-	next := r.pickStandby(b, f.Host(b.Dispatcher))
+	f.moveStandby(r, ref, b, r.pickStandby(b, f.Host(b.Dispatcher)))
+}
+
+func (f *Fleet) moveStandby(r *roles, ref table.BackendRef, b *Backend, next string) {
 	if next == b.StandbyDispatcher {
 		return
 	}
@@ -84,19 +87,19 @@
 	f.changedBackends[ref] = true
 }
 
-// spreadStandbys gives standby roles of hosts that have many to hosts that have
-// few, where the new standby is placed no worse.
-func (f *Fleet) spreadStandbys() {
+// spreadStandbys gives standby roles of hosts that have many to a host that
+// joined, where it is placed no worse. Only the new host is a candidate: a search
+// over all pairs of hosts and backend servers took 0.97 s for 900 hosts.
+func (f *Fleet) spreadStandbys(joined *Host) {
 	r := f.countRoles()
 	for _, ref := range f.sortedBackends() {
 		b := f.backends[ref]
 		old, dispatcher := f.Host(b.StandbyDispatcher), f.Host(b.Dispatcher)
-		best := f.Host(r.pickStandby(b, dispatcher))
-		if old == nil || best == nil || dispatcher == nil {
+		if old == nil || dispatcher == nil || dispatcher == joined || old == joined {
 			continue
 		}
-		if r.total(old) > r.total(best)+1 && standbyRank(best, dispatcher) <= standbyRank(old, dispatcher) {
-			f.setStandby(r, ref, b)
+		if r.total(old) > r.total(joined)+1 && standbyRank(joined, dispatcher) <= standbyRank(old, dispatcher) {
+			f.moveStandby(r, ref, b, joined.Name)
 		}
 	}
 }
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -37,7 +37,7 @@
 	f.hosts[j.Host] = next
 	f.changedHosts[j.Host] = true
 	f.assignDispatchers(index, f.sortedBackends()...)
-	f.spreadStandbys()
+	f.spreadStandbys(next)
 	return nil
 }
 
