Find the leader by the host that a replica names

Cause: a follower names the leader's host, and the daemon used the name as an address. Dialling it failed, which also turned "certainly not applied" into "may have run".

Ruled out: a lost proposal and a wait for the revision to be in force.

Change: the name is translated by the settings' control replicas; a replica that names itself, or an unknown host, is passed over.

Conclusion: an operator's command sent while a leader changes no longer waits for its whole time.

--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -111,10 +111,11 @@
 	return reply
 }
 
-// nextReplica follows the hint of a replica, or goes through all of them.
+// nextReplica follows the hint of a replica, which names the leader's host, or
+// goes through all of them. The hint of one that names itself is not followed.
 func (d *Daemon) nextReplica(current, hint string, attempt int) string {
-	if hint != "" && hint != current {
-		return hint
+	if address, ok := d.byHost[hint]; ok && address != current {
+		return address
 	}
 	return d.replicas[attempt%len(d.replicas)]
 }
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/service"
 	"github.com/agatestep/agatestep/internal/table"
@@ -316,3 +317,50 @@
 	_, body := post(fmt.Sprintf(good, "b1", "i1", w.b.address()))
 	w.True(strings.Contains(body, `"lease_ms":77`) && relayed == 1)
 }
+
+// Guards against announcements that crash a host, or that are taken although a
+// field would break headers, commands or connections.
+func FuzzAnnouncement(f *testing.F) {
+	good := `{"backend":"b","service":"s","incarnation":"i","data_centre":"d","address":"127.0.0.1:1","slots":1,"connections":2}`
+	f.Add(good)
+	for _, edit := range [][2]string{{"}", "}{}"}, {`"b"`, `"b\n"`}, {":1\"", ":0\""}, {`"slots":1`, `"slots":1e9`}, {"127.0.0.1", "0.0.0.0"},
+		{"{", `{"clock_ms":-1,`}, {"{", `{"load":{"in_flight":-1},`}, {"2}", "2"}} {
+		f.Add(strings.Replace(good, edit[0], edit[1], 1))
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		a, err := readAnnouncement(strings.NewReader(body))
+		if err != nil {
+			return
+		}
+		is := is.New(t)
+		is.True(a.Slots >= 1 && a.Connections >= 2 && a.ClockMs >= 0)
+		is.True(!strings.ContainsAny(a.Backend+a.Service+a.Incarnation+a.DataCentre, "/\r\n \x00"))
+	})
+}
+
+// Guards against headers of the relay hop that crash a dispatcher, or that are
+// taken without the identity, deadline and epoch that fence a request.
+func FuzzRelayedHeaders(f *testing.F) {
+	f.Add("id", "s", "b", "100", "ff", "7")
+	f.Add("id", "s", "b", "9223372036854775807", "", "")
+	f.Add("", "s", "b", "-1", "xyz", "1e3")
+	f.Add("id", "s", "b", "9223372036854775807", "ffffffffffffffffff", "-1")
+	f.Fuzz(func(t *testing.T, id, service, backend, ms, hash, epoch string) {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		d := &Dispatcher{cfg: Config{Clock: clock.NewFake(now)}}
+		in := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
+		for name, value := range map[string]string{wire.HeaderRequestID: id, wire.HeaderService: service, wire.HeaderBackend: backend,
+			wire.HeaderTimeoutMs: ms, wire.HeaderHash: hash, wire.HeaderEpoch: epoch} {
+			in.Header.Set(name, value)
+		}
+		r, refusal := d.relayed(httptest.NewRecorder(), in)
+		if refusal != nil {
+			is.Equal(refusal.Verdict, verdict.NotRun)
+			return
+		}
+		is.True(r.ID != "" && r.Service != "" && r.Backend != "")
+		is.True(r.Deadline.After(now))
+		is.Equal(r.Keyed, hash != "")
+	})
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -35,6 +35,10 @@
 	forward.CopyResponse(w, in, resp)
 }
 
+// maxRelayTimeoutMs keeps the deadline of a relayed request from overflowing; a
+// larger timeout would lie in the past.
+const maxRelayTimeoutMs = int64(24 * time.Hour / time.Millisecond)
+
 // relayed reads a request from the relay hop.
 func (d *Dispatcher) relayed(w http.ResponseWriter, in *http.Request) (*Request, *verdict.Error) {
 	h := in.Header
@@ -47,7 +51,7 @@
 	if err != nil || ms <= 0 {
 		return nil, badRelay(wire.HeaderTimeoutMs + " is not a positive number")
 	}
-	r.Deadline = d.cfg.Clock.Now().Add(time.Duration(ms) * time.Millisecond)
+	r.Deadline = d.cfg.Clock.Now().Add(time.Duration(min(ms, maxRelayTimeoutMs)) * time.Millisecond)
 	if text := h.Get(wire.HeaderHash); text != "" {
 		r.Keyed = true
 		if r.Hash, err = strconv.ParseUint(text, 16, 64); err != nil {
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -33,6 +33,7 @@
 		Dir:   dir,
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"identities":    cmdIdentities,
 			"start":         cmdStart,
 			"up":            cmdUp,
 			"backend":       cmdBackend,
