--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -22,6 +22,27 @@
 	Drain            *Drain            `msgpack:",omitempty"`
 	LeaderElected    *LeaderElected    `msgpack:",omitempty"`
 	Repair           *Repair           `msgpack:",omitempty"`
+	HandOver         *HandOver         `msgpack:",omitempty"`
+	HandedOver       *HandedOver       `msgpack:",omitempty"`
+}
+
+// HandOver asks the dispatcher of a backend server to give its role to another host.
+type HandOver struct {
+	Service string
+	Backend string
+	From    string
+	To      string
+}
+
+// HandedOver records that a dispatcher gave its role up and sends nothing more to
+// the backend server. The role goes to the host that HandOver named, or to the
+// standby dispatcher.
+type HandedOver struct {
+	Service string
+	Backend string
+	From    string
+	// Limit is the number of requests that the backend server bore at once.
+	Limit int
 }
 
 // Repair gives slices of a service the standbys and owners that they lack.
@@ -62,6 +83,10 @@
 	// a later leader was elected meanwhile. Zero means any.
 	Joined uint64
 	Term   uint64
+	// LeasesOver is a revision: every lease that this host or an earlier dispatcher
+	// granted to the backend servers that the host dispatches to by that revision
+	// is over. Zero says nothing.
+	LeasesOver uint64
 }
 
 // BackendAnnounced records a new backend server or a new incarnation of one.
@@ -221,7 +246,7 @@
 	for _, set := range []bool{
 		c.HostJoined != nil, c.HostLost != nil, c.BackendAnnounced != nil, c.BackendLost != nil,
 		c.Released != nil, c.Move != nil, c.Split != nil, c.Publish != nil, c.Drain != nil,
-		c.LeaderElected != nil, c.Repair != nil,
+		c.LeaderElected != nil, c.Repair != nil, c.HandOver != nil, c.HandedOver != nil,
 	} {
 		if set {
 			n++
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -181,6 +181,25 @@
 	w.Equal(len(o.Slices), 2) // corrected
 }
 
+// Guards a cold server whose dispatcher changes: the new one sends nothing while
+// the server reports requests of the old one, but does not wait for ever.
+func TestTakeoverWaitsForLeftRequests(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	busy := wire.Announcement{Backend: "b1", Service: "desk", Incarnation: "i1", ClockMs: w.clockMs, Load: &wire.LoadReport{InFlight: 1}}
+	w.d.Announce(context.Background(), busy)
+	second := w.async(context.Background(), w.request("r", http.MethodPost, "x"))
+	w.until("queued", func() bool { return w.locked(queued) })
+	w.sweepOver(90 * time.Millisecond)
+	w.Equal(w.b.ran("r"), 0)
+	w.sweepOver(10 * time.Millisecond)
+	w.Equal(<-second, nil)
+	w.pass(takeoverHold)
+	busy.ClockMs = w.clockMs
+	w.d.Announce(context.Background(), busy)
+	_, err := w.do(context.Background(), w.request("r2", http.MethodPost, "x"))
+	w.Equal(err, nil)
+}
+
 // Guards a frozen server: its order times out, requests are refused as not run,
 // and it is served again after it resumes.
 func TestFrozenServerGetsNoTraffic(t *testing.T) {
@@ -357,3 +376,28 @@
 		is.True(r.ID != "" && r.Service != "" && r.Backend != "" && r.Deadline.Unix() >= 1000 && r.Keyed == (hash != ""))
 	})
 }
+
+// Guards the wait of a new dispatcher for a silent backend server: short only when
+// no earlier lease goes on, and no lease is granted after the role is given up.
+func TestTakeoverOfSilentServer(t *testing.T) {
+	for _, over := range []bool{true, false} {
+		w := newWorld(t, nil)
+		w.record(func(r *table.Backend) { r.Dispatcher = "h2" })
+		w.sweepOver(2 * time.Second)
+		w.record(func(r *table.Backend) { r.Dispatcher, r.LeaseOver = "h1", over })
+		w.sweepOver(500 * time.Millisecond)
+		w.True(!w.proposed(isLost))
+		w.sweepOver(200 * time.Millisecond)
+		if !over {
+			w.sweepOver(300 * time.Millisecond)
+			w.True(!w.proposed(isLost)) // a lease of the dispatcher before may go on
+			w.sweepOver(100 * time.Millisecond)
+		}
+		w.until("loss", func() bool { return w.proposed(isLost) })
+	}
+	w := newWorld(t, nil).ready()
+	w.record(func(r *table.Backend) { r.NextDispatcher = "h2" })
+	reply := w.d.Announce(context.Background(), wire.Announcement{Backend: "b1", Service: "desk", Incarnation: "i1", ClockMs: w.clockMs + 1})
+	w.Equal(reply.LeaseMs, int64(0))
+	w.until("report", func() bool { return w.proposed(func(c *command.Command) bool { return c.HandedOver != nil }) })
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -35,6 +35,10 @@
 	lease   lease
 	takenAt time.Time // when this host took over this incarnation
 	leaving bool
+	// stopping is set when this process stops; handOverSince is when the server
+	// stopped getting new requests because its dispatcher changes.
+	stopping      bool
+	handOverSince time.Time
 
 	confirmed  orderState
 	settled    bool      // the order loop has nothing to do until the next change
@@ -86,6 +90,10 @@
 	} else if old.Slots != rec.Slots || old.Address != rec.Address {
 		s.resize(now)
 	}
+	if first && rec.WarmLimit > 0 {
+		s.admission.Resume(now, rec.WarmLimit)
+	}
+	s.beginHandOver(now)
 	s.notify()
 	s.wake()
 }
@@ -104,12 +112,8 @@
 // resize replaces the connections and the admission; queued requests queue again.
 func (s *server) resize(now time.Time) {
 	s.closeIdle()
-	s.admission = limit.New(limit.Config{Slots: s.rec.Slots, ColdLimit: s.file.ColdStart.Limit,
-		Ramp: s.file.ColdStart.Ramp, QueueLen: s.d.cfg.QueueLen}, now)
-	for id, w := range s.waiters {
-		w <- waitAgain
-		delete(s.waiters, id)
-	}
+	s.admission = limit.New(s.limits(), now)
+	s.requeue()
 	cost := s.file.Backend.ConnectionCost
 	// One of the announced connections is kept for orders.
 	s.traffic = forward.NewTransport(forward.TransportConfig{MaxConns: max(s.rec.Connections-1, 1),
@@ -118,6 +122,15 @@
 		OpenInterval: cost, DialTimeout: s.d.cfg.OrderTimeout, IdleTimeout: time.Minute})}
 }
 
+// requeue makes queued requests check again whether they may run; s.mu is held.
+func (s *server) requeue() {
+	for id, w := range s.waiters {
+		s.admission.Cancel(id)
+		w <- waitAgain
+		delete(s.waiters, id)
+	}
+}
+
 func (s *server) closeIdle() {
 	if s.traffic != nil {
 		s.traffic.CloseIdleConnections()
@@ -153,6 +166,7 @@
 func (s *server) sweep(now, grace time.Time, sessionValid bool) {
 	s.mu.Lock()
 	s.pump(now)
+	s.learn()
 	silent := sessionValid && s.silent(now, grace)
 	s.mu.Unlock()
 	if silent {
@@ -161,6 +175,20 @@
 	s.wake()
 }
 
+// missedAnnouncements is how many intervals a backend server without a lease may
+// stay silent after its dispatcher changed. It announces itself to any host once
+// its dispatcher is gone, so a live one is heard within two.
+const missedAnnouncements = 3
+
+// takeoverPatience is how long a new dispatcher waits for the first announcement.
+// A lease of the dispatcher before may go on unless that one's session expired.
+func (s *server) takeoverPatience() time.Duration {
+	if s.rec.LeaseOver {
+		return missedAnnouncements * s.d.cfg.AnnounceInterval
+	}
+	return scale(s.d.cfg.BackendLeaseTTL, 1+s.d.cfg.MaxClockDrift)
+}
+
 // silent reports whether the lease is surely over and the server had a full
 // lease period to announce itself to this host; s.mu is held.
 func (s *server) silent(now, grace time.Time) bool {
@@ -173,7 +201,7 @@
 		if over := s.lease.surelyOver(drift); over.After(end) {
 			end = over
 		}
-	} else if since := s.takenAt.Add(scale(s.d.cfg.BackendLeaseTTL, 1+drift)); since.After(end) {
+	} else if since := s.takenAt.Add(s.takeoverPatience()); since.After(end) {
 		end = since
 	}
 	return now.After(end)
--- a/internal/fleet/dispatchers.go
+++ b/internal/fleet/dispatchers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/table"
 )
 
@@ -45,16 +46,33 @@
 			}
 			if next != b.Dispatcher {
 				b.Dispatcher, b.Epoch = next, index
+				b.NextDispatcher, b.WarmLimit, b.LeaseOver = "", 0, false
 				r.dispatch[next]++
 				f.changedBackends[ref] = true
 			}
 		}
+		if b.NextDispatcher != "" && f.Host(b.NextDispatcher) == nil {
+			b.NextDispatcher = ""
+			f.changedBackends[ref] = true
+		}
 		if f.Host(b.StandbyDispatcher) == nil || b.StandbyDispatcher == b.Dispatcher {
 			f.setStandby(r, ref, b)
 		}
 	}
 }
 
+// withoutLease returns the backend servers of a lost dispatcher that hold no lease.
+// One that changed after the decision may hold a lease of its dispatcher before.
+func (f *Fleet) withoutLease(l *command.HostLost) []*Backend {
+	var out []*Backend
+	for _, b := range f.backends {
+		if b.Dispatcher == l.Host && !b.Lost && b.Epoch <= l.LeasesOver {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 func (f *Fleet) setStandby(r *roles, ref table.BackendRef, b *Backend) {
 	next := r.pickStandby(b, f.Host(b.Dispatcher))
 	if next == b.StandbyDispatcher {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -21,16 +21,14 @@
 	closed  bool
 	read    bool
 	reading bool
+	done    bool
 	waited  time.Duration
 }
 
-// NewBody wraps r, which may be nil. stop makes a pending read of r return; it
+// NewBody wraps r. stop makes a pending read of r return; it
 // may be nil when reads of r do not block. Without it a broken connection would
 // be noticed only after the read, because http.Transport waits for it.
 func NewBody(r io.Reader, stop func()) *Body {
-	if r == nil {
-		r = http.NoBody
-	}
 	return &Body{r: r, stop: stop}
 }
 
@@ -79,9 +77,20 @@
 	return nil
 }
 
-// abort closes the body and ends a pending read.
+// answered notes that nothing waits for a pending read any more.
+func (b *Body) answered() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.done = true
+}
+
+// abort closes the body of a request without an answer and ends a pending read.
 func (b *Body) abort() {
 	b.mu.Lock()
+	if b.done {
+		b.mu.Unlock()
+		return
+	}
 	pending := b.reading && !b.closed
 	b.closed = true
 	b.mu.Unlock()
@@ -110,8 +119,8 @@
 	if err != nil {
 		return nil, x.failure(ctx, err)
 	}
-	if x.conn != nil {
-		x.conn.drop(x.body)
+	if x.body != nil {
+		x.body.answered()
 	}
 	if x.refused != nil {
 		// Nothing was written, so this answer belongs to no request of ours.
@@ -133,7 +142,7 @@
 func preventReplay(req *http.Request) {
 	req.GetBody = nil
 	if req.Body == nil || req.Body == http.NoBody {
-		req.Body = NewBody(nil, nil)
+		req.Body = emptyBody{}
 		if req.ContentLength == 0 {
 			// Without this, the transport would send an empty chunked body.
 			req.TransferEncoding = []string{"identity"}
@@ -141,6 +150,14 @@
 	}
 }
 
+// emptyBody is a body without content that http.Transport does not take for
+// http.NoBody. WriteTo saves the buffer that copying from it would take.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error)         { return 0, io.EOF }
+func (emptyBody) WriteTo(io.Writer) (int64, error) { return 0, nil }
+func (emptyBody) Close() error                     { return nil }
+
 type exchange struct {
 	check    func() *verdict.Error
 	body     *Body
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -47,6 +47,8 @@
 	procs  map[string]*process
 	load   *load
 	ids    *identities // nil without TLS
+	// gapsFrom is the end of the last span that figures were printed for.
+	gapsFrom time.Time
 }
 
 type process struct {
@@ -220,6 +222,20 @@
 	return owners
 }
 
+// cmdDispatcher waits until a host is the dispatcher of a backend server: dispatcher NAME HOST
+func cmdDispatcher(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	c.until(ts, "dispatcher of "+args[0], func() bool {
+		var s admin.Status
+		if c.get("h1", "/v1/status", &s) != nil {
+			return false
+		}
+		return slices.ContainsFunc(s.Backends, func(b admin.BackendStatus) bool {
+			return b.Backend == args[0] && b.Dispatcher == args[1]
+		})
+	})
+}
+
 // cmdSignal signals a process: signal kill|term|stop|cont NAME
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	c := of(ts)
