Confirm the removal before a replacement is reported as done

Cause: a repeated replace-replica skipped the steps that the leader's own member list already contained. The list includes changes that are not committed, so a leader that had just lost the others reported done while the removal of the old replica was only in its own log. Ruled out: skipping by the committed list only; a deposed leader does not know either that a later one has changed it. Change: Promote and Remove are always asked of the log, which confirms a change that is in place by a round of heartbeats. Conclusion: done means committed, also when the command is repeated.

--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -154,8 +154,7 @@
 )
 
 // replace admits a new replica, waits until it holds the log, makes it a voter
-// and only then removes the old one. Each step is skipped when it is done
-// already, so that the whole may be repeated.
+// and only then removes the old one. The whole may be repeated.
 func (r *replica) replace(ctx context.Context, request admin.ReplaceRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
@@ -168,12 +167,12 @@
 			return errors.Annotatef(err, "admitting learner %s", fresh)
 		}
 	}
-	if m, _ := r.member(fresh); !m.Voter {
-		if err := r.change(ctx, func(n *replication.Node) error { return n.Promote(ctx, fresh) }); err != nil {
-			return errors.Annotatef(err, "promoting learner %s", fresh)
-		}
+	// What this replica knows of the members may not be committed, so neither of
+	// the next steps is skipped; a change that is in place already is confirmed.
+	if err := r.change(ctx, func(n *replication.Node) error { return n.Promote(ctx, fresh) }); err != nil {
+		return errors.Annotatef(err, "promoting learner %s", fresh)
 	}
-	if _, known := r.member(old); old != "" && known {
+	if old != "" {
 		if err := r.change(ctx, func(n *replication.Node) error { return n.Remove(ctx, old) }); err != nil {
 			return errors.Annotatef(err, "removing replica %s", old)
 		}
