Test the checks at the connection and the drain of servers without keys

Cause: in a scratch copy (trials), all tests of dispatch and entry passed without the check that a request gets when its connection was obtained, and without the rule that a drained server gets no request of a service without keys. The test of a closed session passed although renewals went on. Ruled out: other tests that cover them; the whole packages were run. Change: three tests. Conclusion: both rules have a test.

--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -184,15 +185,37 @@
 	w.Equal(w.d.InFlight(), 0)
 }
 
+// losses are the ways in which the right to send a request ends.
+var losses = map[string]func(w *world){
+	"session": func(w *world) { w.validFor(0) },
+	"lease":   func(w *world) { w.pass(150 * time.Millisecond) },
+	"epoch":   func(w *world) { w.moveSlice(0, "b1", 70) },
+	"revoke":  func(w *world) { w.releaseSlice(0) },
+}
+
+// Guards the rights at the time of the send: while a connection is opened, each of
+// them can end, and the request must then not be written.
+func TestRightsAreCheckedAtConnection(t *testing.T) {
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) { c.BackendLeaseTTL = 100 * time.Millisecond }).ready()
+			transport := w.server().traffic
+			dial := transport.DialContext
+			transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				lose(w)
+				return dial(ctx, network, address)
+			}
+			_, err := w.do(context.Background(), w.request("r", http.MethodPost, "x"))
+			w.True(err != nil && err.Verdict == verdict.NotRun)
+			w.Equal(w.b.ran("r"), 0)
+		})
+	}
+}
+
 // Guards the rights at the time of the send: while a request waits in the queue,
 // each of them can end, and the request must then not be sent.
 func TestRightsAreCheckedAfterQueue(t *testing.T) {
-	for name, lose := range map[string]func(w *world){
-		"session": func(w *world) { w.validFor(0) },
-		"lease":   func(w *world) { w.pass(150 * time.Millisecond) },
-		"epoch":   func(w *world) { w.moveSlice(0, "b1", 70) },
-		"revoke":  func(w *world) { w.releaseSlice(0) },
-	} {
+	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, func(c *Config, _ *table.Backend, _ *service.File) { c.BackendLeaseTTL = 100 * time.Millisecond }).ready()
 			finish := w.hold()
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -243,6 +243,18 @@
 	}
 }
 
+// Guards a server without keys that operators take out: it gets no new request,
+// although it has a lease and there is no slice to move.
+func TestDrainedServerGetsNoUnkeyedRequest(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	r := w.request("r", http.MethodPost, "x")
+	r.Keyed = false
+	w.record(func(r *table.Backend) { r.Draining = true })
+	_, err := w.do(context.Background(), r)
+	w.True(err != nil && err.Verdict == verdict.NotRun && err.Reason == verdict.ReasonMoved)
+	w.Equal(w.b.ran("r"), 0)
+}
+
 // Guards a planned stop of a backend server: no new request, idle slices move at
 // once, requests in flight end, the server confirms an empty order, and only then
 // it is given up.
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -131,5 +131,6 @@
 	is.Equal(c.asked, []string{"a1", "a3"})
 	c.renew = nil
 	is.True(s.Close(ctx) != nil) // nobody answers, and the lease is given up even so
-	is.True(!s.Valid() && s.Renew(ctx) != nil)
+	c.granting(0, 0)
+	is.True(s.Renew(ctx) != nil && !s.Valid()) // and not taken again
 }
