Find the leader by the name that replicas give

Cause: replicas name the host of the leader, and bringToLeader and ReplaceReplica called that name as an address. Each such call failed; depending on the count of attempts, a host went round the other replicas for ever and never asked the leader. The failed call also turned a certain refusal into an unknown outcome. replace_needs_majority hung at its replacement for 60 s while h2 led. Ruled out: a lost membership change; h1 never called h2, as its goroutines showed. Change: the name is looked up among the replicas. Before and after: TestNextReplicaReachesTheLeader failed with "h2 != a2" and passes; replace_needs_majority timed out in 3 of 3 runs and passes in 17.7 s. Conclusion: proposals and replacements reach the leader at the next attempt.

--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -87,10 +87,11 @@
 	return reply
 }
 
-// nextReplica follows the hint of a replica, or goes through all of them.
-func (d *Daemon) nextReplica(current, hint string, attempt int) string {
-	if hint != "" && hint != current {
-		return hint
+// nextReplica follows the hint of a replica, which names the leader's host, or goes
+// through all replicas.
+func (d *Daemon) nextReplica(current, leaderHost string, attempt int) string {
+	if address := d.byHost[leaderHost]; address != "" && address != current {
+		return address
 	}
 	return d.replicas[attempt%len(d.replicas)]
 }
