--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +18,7 @@
 
 	"github.com/agatestep/agatestep/internal/admin"
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/standin"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
@@ -34,6 +36,8 @@
 	prefix string // first three bytes of the addresses
 	procs  map[string]*process
 	load   *load
+	// uploads are the results of the uploads that were begun.
+	uploads []chan string
 }
 
 type process struct {
@@ -218,6 +222,66 @@
 	})
 }
 
+// cmdFault replaces the failures of a stand-in that was started with --control:
+// fault NAME JSON
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	var s admin.Status
+	ts.Check(c.get("h1", "/v1/status", &s))
+	for _, b := range s.Backends {
+		if b.Backend == args[0] {
+			response, err := http.Post("http://"+b.Address+standin.ControlPath, "application/json", strings.NewReader(args[1]))
+			ts.Check(err)
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusNoContent {
+				ts.Fatalf("%s answered %s", args[0], response.Status)
+			}
+			return
+		}
+	}
+	ts.Fatalf("backend server %s is not known", args[0])
+}
+
+// cmdReplicaOf sets REPLICA to the identifier of a host's replica: replica-of HOST
+func cmdReplicaOf(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	c.until(ts, "the replica of "+args[0], func() bool {
+		var s admin.Status
+		if c.get("h1", "/v1/status", &s) != nil || s.Control == nil {
+			return false
+		}
+		for _, m := range s.Control.Members {
+			if m.Host == args[0] {
+				ts.Setenv("REPLICA", m.Replica)
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// cmdRace publishes two folders at once through two hosts and demands that
+// exactly one wins, which it names in WINNER, the other in LOSER: race DIR1 DIR2
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	errs := make([]chan error, 2)
+	for i, dir := range args {
+		errs[i] = make(chan error, 1)
+		cmd := exec.Command(filepath.Join(filepath.SplitList(ts.Getenv("PATH"))[0], "agatestep"),
+			"--admin", c.address(fmt.Sprint("h", i+1), 7104), "publish", "--request-id", dir, filepath.Join(c.dir, dir))
+		go func() { errs[i] <- cmd.Run() }()
+	}
+	first, second := <-errs[0], <-errs[1]
+	if (first == nil) == (second == nil) {
+		ts.Fatalf("both have the same outcome: %v, %v", first, second)
+	}
+	if first != nil {
+		slices.Reverse(args)
+	}
+	ts.Setenv("WINNER", args[0])
+	ts.Setenv("LOSER", args[1])
+}
+
 // cmdSignal signals a process: signal kill|term|stop|cont NAME
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	c := of(ts)
--- a/internal/scenario/judge_test.go
+++ b/internal/scenario/judge_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// cmdQuiet demands that a backend server starts no request any more. Requests that
+// were on their way get the time of 30 answers: quiet NAME
+func cmdQuiet(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	more := func(n int) {
+		least := c.load.answered() + n
+		c.until(ts, "answers of the load", func() bool { return c.load.answered() >= least })
+	}
+	more(30)
+	limit := time.Now()
+	more(100)
+	if n := startedAfter(c.executions(ts), args[0], limit); n > 0 {
+		ts.Fatalf("%s started %d requests after it was taken out", args[0], n)
+	}
+}
+
 // cmdBusy waits until a backend server starts requests again: busy NAME
 func cmdBusy(ts *testscript.TestScript, _ bool, args []string) {
 	c, now := of(ts), time.Now()
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -52,6 +52,12 @@
 			"churn":         cmdChurn,
 			"same-revision": cmdSameRevision,
 			"judge-uncut":   cmdJudgeUncut,
+			"upload":        cmdUpload,
+			"uploaded":      cmdUploaded,
+			"fault":         cmdFault,
+			"replica-of":    cmdReplicaOf,
+			"race":          cmdRace,
+			"quiet":         cmdQuiet,
 		},
 	}
 }
--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -13,6 +13,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/entry"
 	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -57,6 +58,7 @@
 	}
 	r.Header.Set("X-Key", key)
 	r.Header.Set("Connection", "close")
+	r.Header.Set("Idempotency-Key", "makes net/http replay the request unless that is prevented")
 	r.Header.Set(wire.HeaderTimeoutMs, strconv.FormatInt(timeout.Milliseconds(), 10))
 	if id != "" {
 		r.Header.Set(wire.HeaderRequestID, id)
@@ -77,6 +79,53 @@
 	return response.StatusCode, v, string(raw)
 }
 
+// cmdUpload begins an upload whose second half is sent when the host has begun to
+// stop, and demands at the end of the script's "uploaded" that it was answered:
+// upload HOST KEY
+func cmdUpload(ts *testscript.TestScript, _ bool, args []string) {
+	c, half := of(ts), make([]byte, 4<<20) // larger than the buffers on the way
+	reading, writer := io.Pipe()
+	r, err := http.NewRequest(http.MethodPost, "http://"+c.address(args[0], 7100)+"/desk/x", reading)
+	ts.Check(err)
+	r.Header.Set("X-Key", args[1])
+	r.Header.Set(wire.HeaderTimeoutMs, "60000")
+	done := make(chan string, 1)
+	c.uploads = append(c.uploads, done)
+	go func() {
+		response, err := http.DefaultClient.Do(r)
+		_ = reading.Close()
+		if err != nil {
+			done <- err.Error()
+			return
+		}
+		_ = response.Body.Close()
+		done <- response.Status
+	}()
+	_, err = writer.Write(half)
+	ts.Check(err)
+	go func() {
+		for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+			if response, err := http.Get("http://" + c.address(args[0], 7100) + entry.HealthPath); err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusServiceUnavailable {
+					break
+				}
+			}
+		}
+		_, _ = writer.Write(half)
+		_ = writer.Close()
+	}()
+}
+
+// cmdUploaded waits for the uploads and demands that all were answered.
+func cmdUploaded(ts *testscript.TestScript, _ bool, _ []string) {
+	for i, done := range of(ts).uploads {
+		if status := <-done; status != "200 OK" {
+			ts.Fatalf("upload %d ended with %s", i, status)
+		}
+	}
+}
+
 func failedVerdict(err error) verdict.Verdict {
 	if strings.Contains(err.Error(), "connection refused") {
 		return verdict.NotRun
