--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -33,6 +36,8 @@
 	handlers map[string]Handler
 	// ordered methods run in the connection's read loop, one after the other.
 	ordered map[string]bool
+	// acceptTimeout is the constant of this name except in tests.
+	acceptTimeout time.Duration
 
 	mu     sync.Mutex
 	conns  map[*jsonrpc2.Conn]struct{}
@@ -46,6 +51,8 @@
 		handlers: map[string]Handler{},
 		ordered:  map[string]bool{},
 		conns:    map[*jsonrpc2.Conn]struct{}{},
+
+		acceptTimeout: acceptTimeout,
 	}
 }
 
@@ -68,11 +75,27 @@
 			return errors.Trace(err)
 		}
 		_ = setUserTimeout(conn) // without it a dead connection is only noticed later
-		if config != nil {
-			conn = tls.Server(conn, config)
+		if config == nil {
+			s.start(conn)
+			continue
 		}
-		s.start(conn)
+		go s.startSecured(tls.Server(conn, config))
+	}
+}
+
+// acceptTimeout bounds the TLS handshake of a connection that was opened to
+// this host, so that one without a certificate does not hold a descriptor. It
+// is far above handshakeTimeout, at which daemons give up themselves.
+const acceptTimeout = 3 * time.Second
+
+func (s *Server) startSecured(conn *tls.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.acceptTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return
 	}
+	s.start(conn)
 }
 
 func (s *Server) start(conn net.Conn) {
@@ -83,7 +106,7 @@
 		_ = conn.Close()
 		return
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), stream, handlerFunc(s.handle))
+	rpc := jsonrpc2.NewConn(context.Background(), stream, handlerFunc(s.handle), quiet)
 	s.conns[rpc] = struct{}{}
 	go func() {
 		<-rpc.DisconnectNotify()
@@ -107,6 +130,10 @@
 	}
 }
 
+// quiet keeps the library from writing a line to the standard log for each
+// connection that breaks; callers get the error.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 type handlerFunc func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request)
 
 // Handle implements jsonrpc2.Handler.
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -38,6 +38,8 @@
 	load   *load
 	// uploads are the results of the uploads that were begun.
 	uploads []chan string
+	// gapsFrom is the end of the last span that figures were printed for.
+	gapsFrom time.Time
 }
 
 type process struct {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -15,122 +15,167 @@
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
-var ctx = context.Background()
+const ttl = time.Second
 
-// control answers as the control group of a test; nil functions fail the call.
-type control struct {
-	clock *clock.Fake
-	renew func(address string, req wire.SessionRenew) wire.SessionReply
-	table wire.TableReply
-	asked []string
+// leaders is a fake of the control replicas: it answers by address and logs the calls.
+type leaders struct {
+	clock  *clock.Fake
+	delay  time.Duration // time that an answer takes
+	reply  map[string]wire.SessionReply
+	tables []wire.TableReply
+	asked  []string
+	sent   []wire.SessionRenew
 }
 
-func (c *control) Call(_ context.Context, address, method string, params, result any) error {
-	c.asked = append(c.asked, address)
-	switch {
-	case method == wire.MethodTableWatch:
-		*result.(*wire.TableReply) = c.table
-	case c.renew == nil:
+func (l *leaders) Call(_ context.Context, address, method string, params, result any) error {
+	l.asked = append(l.asked, address)
+	l.clock.Advance(l.delay)
+	if method == wire.MethodTableWatch {
+		*result.(*wire.TableReply), l.tables = l.tables[0], l.tables[1:]
+		return nil
+	}
+	l.sent = append(l.sent, params.(wire.SessionRenew))
+	reply, ok := l.reply[address]
+	if !ok {
 		return errors.New("no answer")
-	default:
-		*result.(*wire.SessionReply) = c.renew(address, params.(wire.SessionRenew))
 	}
+	*result.(*wire.SessionReply) = reply
 	return nil
 }
 
-func newSession() (*Session, *control) {
-	c := &control{clock: clock.NewFake(time.Unix(1_000_000, 0))}
+func granted(revision uint64) wire.SessionReply {
+	return wire.SessionReply{Granted: true, TTLMs: ttl.Milliseconds(), Revision: revision}
+}
+
+func newSession() (*Session, *leaders) {
+	l := &leaders{clock: clock.NewFake(time.Unix(1000, 0)), reply: map[string]wire.SessionReply{"a1": granted(0)}}
 	return New(Config{
-		Host: command.HostJoined{Host: "h1"}, Instance: "a", Caller: c, Clock: c.clock, Logger: zap.NewNop(),
-		Replicas:    []Replica{{"h1", "a1"}, {"h2", "a2"}, {"h3", "a3"}},
-		CallTimeout: time.Minute, WatchPoll: time.Minute, Record: func(string, string, string) {},
-	}), c
+		Host: command.HostJoined{Host: "h9"}, Instance: "i", Caller: l, Clock: l.clock, Logger: zap.NewNop(),
+		Replicas:    []Replica{{Host: "h1", Address: "a1"}, {Host: "h2", Address: "a2"}, {Host: "h3", Address: "a3"}},
+		CallTimeout: time.Second, Record: func(string, string, string) {},
+	}), l
 }
 
-// granting grants 1 s at a table revision of the leader after an answer that takes long.
-func (c *control) granting(revision uint64, took time.Duration) {
-	c.renew = func(string, wire.SessionRenew) wire.SessionReply {
-		c.clock.Advance(took)
-		return wire.SessionReply{Granted: true, TTLMs: 1000, Revision: revision}
-	}
+// watch lets the session apply one answer of the leader.
+func watch(t *testing.T, s *Session, l *leaders, reply wire.TableReply) error {
+	t.Helper()
+	l.tables = []wire.TableReply{reply}
+	return s.Watch(context.Background())
 }
 
-// follow brings the table of revision to the session.
-func (c *control) follow(t *testing.T, s *Session, revision uint64) {
+func snapshot(t *testing.T, revision uint64) wire.TableReply {
 	t.Helper()
-	next, err := table.Empty().Apply(table.NewBuilder(0).Delta(revision))
-	snapshot, bad := next.Snapshot()
-	if c.table = (wire.TableReply{Snapshot: snapshot}); err != nil || bad != nil || s.Watch(ctx) != nil {
-		t.Fatalf("revision %d: %v %v", revision, err, bad)
+	full, err := table.Empty().Apply(table.NewBuilder(0).Delta(revision))
+	if err != nil {
+		t.Fatal(err)
 	}
+	data, err := full.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wire.TableReply{Revision: revision, Snapshot: data}
 }
 
-// Guards against a session that a freeze or a slow answer extends: it counts from
-// when the renewal was sent.
-func TestSessionCountsFromTheSend(t *testing.T) {
-	is := is.New(t)
-	s, c := newSession()
-	sent := c.clock.Now()
-	c.granting(0, 400*time.Millisecond)
-	is.NoErr(s.Renew(ctx))
-	is.Equal(s.ValidUntil().Sub(sent), time.Second)
-	c.clock.Advance(600 * time.Millisecond)
-	is.True(!s.Valid())
-	c.granting(0, 2*time.Second) // frozen between the send and the answer
-	is.NoErr(s.Renew(ctx))
-	is.True(!s.Valid())
+// Guards against a lease counted from the answer: a host that froze between
+// renewal and answer would route after the leader counted it as expired.
+func TestLeaseCountsFromTheSend(t *testing.T) {
+	for _, c := range []struct {
+		delay time.Duration
+		valid bool
+	}{{0, true}, {ttl - time.Millisecond, true}, {ttl, false}, {time.Hour, false}} {
+		is := is.New(t)
+		s, l := newSession()
+		sent := l.clock.Now()
+		l.delay = c.delay
+		is.NoErr(s.Renew(context.Background()))
+		is.Equal(s.ValidUntil(), sent.Add(ttl))
+		is.Equal(s.Valid(), c.valid) // by delay
+	}
 }
 
-// Guards against a host that routes by a table older than one that may have been
-// reported as in force without it, because its session had lapsed.
-func TestLapsedSessionNeedsTheLeadersTable(t *testing.T) {
-	is := is.New(t)
-	s, c := newSession()
-	c.follow(t, s, 5)
-	c.granting(5, 0)
-	is.NoErr(s.Renew(ctx))
-	c.granting(7, 0)
-	is.NoErr(s.Renew(ctx))
-	is.True(s.Valid()) // renewed in time: the leader still waits for this host
-	c.clock.Advance(time.Second)
-	is.NoErr(s.Renew(ctx))
-	is.True(!s.Valid())
-	c.follow(t, s, 6)
-	is.True(!s.Valid())
-	c.follow(t, s, 7)
-	is.True(s.Valid())
+// Guards against a host that routes by an old table after a lapse, in which the
+// leader may have confirmed revisions without it.
+func TestLapseDemandsTheLeadersRevision(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		pause         time.Duration
+		floor         uint64
+		valid, caught bool
+	}{
+		{"renewed in time", ttl - time.Millisecond, 9, true, true},
+		{"renewed at the end", ttl, 9, false, true},
+		{"lapsed, table current", time.Minute, 5, true, true},
+		{"lapsed, leader beyond the next table", time.Minute, 10, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, l := newSession()
+			l.reply["a1"] = granted(5)
+			is.NoErr(s.Renew(context.Background()))
+			is.True(!s.Valid()) // a new session routes by no older table either
+			is.NoErr(watch(t, s, l, snapshot(t, 5)))
+			is.True(s.Valid())
+			l.clock.Advance(c.pause)
+			l.reply["a1"] = granted(c.floor)
+			is.NoErr(s.Renew(context.Background()))
+			is.Equal(s.Valid(), c.valid)
+			is.NoErr(watch(t, s, l, snapshot(t, 9)))
+			is.Equal(s.Valid(), c.caught)
+			is.Equal(l.sent[1].Applied, uint64(5)) // the renewal acknowledges what is applied
+		})
+	}
 }
 
-// Guards against a host that goes back to a lower revision, for example when a
-// replica that was cut off for long answers.
-func TestLowerRevisionIsRefused(t *testing.T) {
+// Guards against a table that goes back, such as by a late answer of an old leader.
+func TestLowerRevisionIsNeverTaken(t *testing.T) {
 	is := is.New(t)
-	s, c := newSession()
-	c.follow(t, s, 9)
-	c.follow(t, s, 3)
-	is.Equal(s.Table().Revision(), uint64(9))
-	delta, err := table.NewBuilder(3).Delta(10).Encode()
-	is.NoErr(err)
-	c.table = wire.TableReply{Delta: delta} // builds on a table that this host does not have
-	is.True(s.Watch(ctx) != nil)
-	is.Equal(s.Table().Revision(), uint64(9))
+	s, l := newSession()
+	is.NoErr(watch(t, s, l, snapshot(t, 7)))
+	is.NoErr(watch(t, s, l, snapshot(t, 6)))
+	is.Equal(s.Table().Revision(), uint64(7))
+	is.True(watch(t, s, l, wire.TableReply{Snapshot: []byte("x")}) != nil) // unreadable
+	is.NoErr(watch(t, s, l, wire.TableReply{}))                            // nothing new
+	is.Equal(s.Table().Revision(), uint64(7))
 }
 
-// Guards against a host that stays with a deposed leader, and against one that
-// routes on after it gave up its session.
-func TestSessionFindsTheLeaderAndCloses(t *testing.T) {
+// Guards against a host that routes, or renews, while it hands its roles on.
+func TestClose(t *testing.T) {
 	is := is.New(t)
-	s, c := newSession()
-	c.renew = func(address string, req wire.SessionRenew) wire.SessionReply {
-		if address != "a3" {
-			return wire.SessionReply{Leader: "h3", Reason: "not the leader"}
-		}
-		return wire.SessionReply{Granted: !req.Closing, Closed: req.Closing, TTLMs: 1000}
+	s, l := newSession()
+	is.NoErr(s.Renew(context.Background()))
+	is.True(s.Valid())
+	is.True(s.Close(context.Background()) != nil) // nobody confirmed
+	is.True(!s.Valid())                           // given up all the same
+	l.reply["a2"] = wire.SessionReply{Closed: true}
+	is.NoErr(s.Close(context.Background()))
+	is.True(l.sent[len(l.sent)-1].Closing)
+	is.True(s.Renew(context.Background()) != nil)
+	is.True(!s.Valid())
+}
+
+// Guards against renewals that stay with a replica that does not lead, and
+// against hints that lead in circles.
+func TestRenewFollowsHints(t *testing.T) {
+	follower := func(leader string) wire.SessionReply { return wire.SessionReply{Leader: leader, Reason: "no leader"} }
+	for _, c := range []struct {
+		name  string
+		reply map[string]wire.SessionReply
+		asked []string
+		ok    bool
+	}{
+		{"silent replicas are passed over", map[string]wire.SessionReply{"a3": granted(0)}, []string{"a1", "a2", "a3"}, true},
+		{"the hint comes before the next", map[string]wire.SessionReply{"a1": follower("h3"), "a3": granted(0)}, []string{"a1", "a3"}, true},
+		{"an unknown hint is passed over", map[string]wire.SessionReply{"a1": follower("h8"), "a2": granted(0)}, []string{"a1", "a2"}, true},
+		{"a leader that refuses stays", map[string]wire.SessionReply{"a1": follower("h1")}, []string{"a1", "a1", "a1", "a1"}, false},
+		{"a circle of hints ends", map[string]wire.SessionReply{"a1": follower("h2"), "a2": follower("h1")}, []string{"a1", "a2", "a1", "a2"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, l := newSession()
+			l.reply = c.reply
+			is.Equal(s.Renew(context.Background()) == nil, c.ok)
+			is.Equal(l.asked, c.asked)
+			is.Equal(s.Valid(), c.ok)
+		})
 	}
-	is.NoErr(s.Renew(ctx))
-	is.Equal(c.asked, []string{"a1", "a3"})
-	c.renew = nil
-	is.True(s.Close(ctx) != nil) // nobody answers, and the lease is given up even so
-	c.granting(0, 0)
-	is.True(s.Renew(ctx) != nil && !s.Valid()) // and not taken again
 }
