--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -53,6 +53,12 @@
 			"churn":         cmdChurn,
 			"same-revision": cmdSameRevision,
 			"judge-uncut":   cmdJudgeUncut,
+			"upload":        cmdUploadStart,
+			"uploaded":      cmdUploadEnd,
+			"fault":         cmdFault,
+			"replica-of":    cmdReplicaOf,
+			"race":          cmdRace,
+			"quiet":         cmdQuiet,
 		},
 	}
 }
