--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -63,9 +63,9 @@
 // Guards against bad requests that are taken, or refused without an outcome.
 func TestRefusals(t *testing.T) {
 	for c, want := range map[[3]string]string{ // token, path and body; status and what the error names
-		{"let-in", "/v1/drains", drainBody}:                                               "200 ",
-		{"other", "/v1/drains", drainBody}:                                                "401 token",
-		{"", "/v2", ""}:                                                                   "404 path",
+		{"let-in", "/v1/drains", drainBody}: "200 ",
+		{"other", "/v1/drains", drainBody}:  "401 token",
+		{"", "/v2", ""}:                     "404 path",
 		{"", "/v1/drains", `{"request_id":"r","kind":"backend","nmae":"x"}`}:              "400 nmae",
 		{"", "/v1/drains", drainBody + drainBody}:                                         "400 follows",
 		{"", "/v1/publish", `{"request_id":"` + strings.Repeat("x", maxBodyBytes) + `"}`}: "413 large",
