Count events by kind, and check service files in one place

Cause: lapsed leases and lost backend servers showed only in the time line, and two packages adapted the same checks. Ruled out: a counter in each package, since the time line has every change of state. Change: agatestep_events in expvar; the daemon uses control.ServiceChecker. Conclusion: alerts need no time line.

--- a/internal/daemon/adminapi.go
+++ b/internal/daemon/adminapi.go
@@ -151,7 +151,7 @@
 	if err := d.replica.bootstrap(request); err != nil {
 		return errors.Trace(err)
 	}
-	d.events.Record("bootstrapped", request.Group, "")
+	d.record("bootstrapped", request.Group, "")
 	return nil
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -19,7 +19,7 @@
 		return nil
 	}
 	cfg := d.settings
-	state := control.NewState(serviceChecker)
+	state := control.NewState(control.ServiceChecker())
 	replica, err := openReplica(cfg.DataFolder, cfg.Control.Group, cfg.Host, replication.Config{
 		Tick:             cfg.Timing.Tick,
 		ElectionTicksMin: cfg.Timing.ElectionTicksMin,
@@ -56,8 +56,8 @@
 	d.logger.Info("control leader changed", zap.String("leader", string(leader)), zap.Uint64("term", term))
 	detail := fmt.Sprintf("term %d", term)
 	if leader == "" {
-		d.events.Record("leader-unknown", d.settings.Control.Group, detail)
+		d.record("leader-unknown", d.settings.Control.Group, detail)
 		return
 	}
-	d.events.Record("leader-changed", leader.Host(), detail)
+	d.record("leader-changed", leader.Host(), detail)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,7 +141,7 @@
 		WatchPoll:     cfg.Timing.WatchPoll,
 		Loads:         func() []wireLoads { return d.dispatcher.Loads() },
 		OnTable:       d.tableChanged,
-		Record:        d.events.Record,
+		Record:        d.record,
 	})
 	d.dispatcher = dispatch.New(d.dispatchConfig())
 	d.entry = entry.New(entry.Config{
@@ -170,7 +170,7 @@
 	return dispatch.Config{
 		Host: cfg.Host, Tables: d.session.Table, SessionValidUntil: d.session.ValidUntil,
 		Propose: d.propose, RelayAnnounce: d.relayAnnounce,
-		Clock: d.clock, Logger: d.logger, Record: d.events.Record,
+		Clock: d.clock, Logger: d.logger, Record: d.record,
 		BackendLeaseTTL: cfg.Timing.BackendLeaseTTL, AnnounceInterval: cfg.Timing.AnnounceInterval,
 		MaxClockDrift: cfg.Timing.MaxClockDrift,
 		QueueLen:      cfg.Limits.QueuePerBackend, MaxBodyBytes: cfg.Limits.BodyBytes,
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -50,14 +50,14 @@
 	case cmd.Publish != nil:
 		detail := fmt.Sprintf("request %s, revision %d", cmd.Publish.RequestID, result.Revision)
 		for _, name := range slices.Sorted(maps.Keys(result.Versions)) {
-			d.events.Record("published", name, fmt.Sprintf("version %d, %s", result.Versions[name], detail))
+			d.record("published", name, fmt.Sprintf("version %d, %s", result.Versions[name], detail))
 		}
 	case cmd.Drain != nil:
 		kind := "restored"
 		if cmd.Drain.Out {
 			kind = "drained"
 		}
-		d.events.Record(kind, cmd.Drain.Name, fmt.Sprintf("%s, request %s, revision %d", cmd.Drain.Kind, cmd.Drain.RequestID, result.Revision))
+		d.record(kind, cmd.Drain.Name, fmt.Sprintf("%s, request %s, revision %d", cmd.Drain.Kind, cmd.Drain.RequestID, result.Revision))
 	}
 }
 
--- a/internal/daemon/rpc.go
+++ b/internal/daemon/rpc.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return wire.ReplaceReply{Reason: err.Error(), Refused: errors.Is(err, errors.NotValid)}, nil
 	}
-	d.events.Record("replica-replaced", request.New, "replaces "+request.Old)
+	d.record("replica-replaced", request.New, "replaces "+request.Old)
 	return wire.ReplaceReply{Done: true}, nil
 }
 
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -42,7 +42,7 @@
 	d.background.Go(func() { d.session.Run(loops) })
 	d.background.Go(func() { d.dispatcher.Run(loops) })
 	d.logger.Info("started", zap.String("host", d.settings.Host), zap.String("data_centre", d.settings.DataCentre))
-	d.events.Record("started", d.settings.Host, "")
+	d.record("started", d.settings.Host, "")
 	<-ctx.Done()
 	return d.shutdown(hard)
 }
@@ -99,7 +99,7 @@
 // take over, and finishes what is in flight. The control replica stops last.
 func (d *Daemon) shutdown(hard context.Context) error {
 	d.logger.Info("stopping")
-	d.events.Record("stopping", d.settings.Host, "")
+	d.record("stopping", d.settings.Host, "")
 	ctx, cancel := context.WithTimeout(hard, d.settings.Shutdown.Timeout)
 	defer cancel()
 	left, cancelDelay := context.WithTimeout(hard, d.settings.Shutdown.Delay)
--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -20,6 +20,7 @@
 	revision  *expvar.Int // revision of the routing table
 	renewals  *expvar.Int // session renewals handled
 	proposals *expvar.Int // proposals handled
+	events    *expvar.Map // events of the time line, by kind
 }
 
 var counters = newProcessCounters()
@@ -30,7 +31,14 @@
 		revision:  expvar.NewInt("agatestep_table_revision"),
 		renewals:  expvar.NewInt("agatestep_session_renewals"),
 		proposals: expvar.NewInt("agatestep_proposals"),
+		events:    expvar.NewMap("agatestep_events"),
 	}
 	c.entry.Publish("agatestep_entry")
 	return c
 }
+
+// record adds an event to the time line and counts it by kind.
+func (d *Daemon) record(kind, subject, detail string) {
+	d.events.Record(kind, subject, detail)
+	counters.events.Add(kind, 1)
+}
