--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -79,9 +79,8 @@
 	return response.StatusCode, v, string(raw)
 }
 
-// cmdUploadStart begins an upload whose second half is sent when the host has begun to
-// stop, and demands at the end of the script's "uploaded" that it was answered:
-// upload HOST KEY
+// cmdUploadStart begins an upload whose second half is sent when the host has begun
+// to stop: hold-upload HOST KEY
 func cmdUploadStart(ts *testscript.TestScript, _ bool, args []string) {
 	c, half := of(ts), make([]byte, 4<<20) // larger than the buffers on the way
 	reading, writer := io.Pipe()
