Report work past its deadline as such

Ruled out: lapsed leases during hand-overs; the records of the backend servers name the deadline for each abandoned request. Change: status 504 of a backend server has the reason deadline.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -269,7 +269,10 @@
 		if status == http.StatusServiceUnavailable {
 			e.Reason = verdict.ReasonOverloaded
 		}
-	case status != http.StatusGatewayTimeout:
+	case status == http.StatusGatewayTimeout:
+		// The only reason for this status is Agatestep-Deadline, which is the caller's own.
+		e.Reason = verdict.ReasonDeadline
+	default:
 		e.Status = http.StatusBadGateway
 	}
 	return e
--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -55,6 +55,7 @@
 		{"refusal by the fence", refusing(409, verdict.NotRun), verdict.NotRun, 503, verdict.ReasonBackendRefused},
 		{"shed load", refusing(503, verdict.NotRun), verdict.NotRun, 503, verdict.ReasonOverloaded},
 		{"abandoned work", refusing(503, verdict.MayHaveRun), verdict.MayHaveRun, 502, verdict.ReasonBackendRefused},
+		{"work past the deadline", refusing(504, verdict.MayHaveRun), verdict.MayHaveRun, 504, verdict.ReasonDeadline},
 	} {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
 			t.Run(c.name+" "+method, func(t *testing.T) {
