Report a command that reached no replica as not run

Cause: a refused connection to a control replica counted as "may have run", so with a majority lost the tool ended with the status for an open outcome. Ruled out: treating every failed call so, since a call that was sent may have been applied. Change: the peer client marks calls that obtained no connection. Before and after: TestUnreachableReplicasDidNotRunACommand gave unknown before and dropped after. Conclusion: operators are left guessing only where the outcome is open.

--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -98,6 +99,9 @@
 	defer cancel()
 	var reply wire.ProposalReply
 	err := d.client.Call(ctx, address, method, proposal, &reply)
+	if errors.Is(err, peer.ErrNotConnected) {
+		return wire.ProposalReply{Status: wire.ProposalDropped}, nil
+	}
 	return reply, err
 }
 
--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -1,9 +1,16 @@
 package daemon
 
 import (
+	"context"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/peer"
+	"github.com/agatestep/agatestep/internal/timeline"
+	"github.com/agatestep/agatestep/internal/wire"
 )
 
 // Guards against a search that goes around between a follower and an empty replica.
@@ -17,3 +24,15 @@
 		is.New(t).True(asked <= 2)
 	}
 }
+
+// Guards against "may have run" for a command that could not be sent to anyone.
+func TestUnreachableReplicasDidNotRunACommand(t *testing.T) {
+	is := is.New(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(closed.Close())
+	d := &Daemon{client: peer.NewClient(timeline.NewClock(time.Now), nil)}
+	reply, err := d.proposeAt(context.Background(), closed.Addr().String(), wire.MethodOperate, wire.Proposal{})
+	is.NoErr(err)
+	is.Equal(worse(wire.ProposalReply{Status: wire.ProposalDropped}, reply, err).Status, wire.ProposalDropped)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,6 +21,10 @@
 // handshakeTimeout bounds the TLS handshake on a new connection.
 const handshakeTimeout = 300 * time.Millisecond
 
+// ErrNotConnected means that no connection was obtained, so that the call was
+// certainly not sent.
+const ErrNotConnected = errors.ConstError("not connected")
+
 // Client calls other daemons over one kept connection an address. It is safe
 // for concurrent use.
 type Client struct {
@@ -91,7 +95,7 @@
 	}
 	fresh, err := c.dial(ctx, address)
 	if err != nil {
-		return nil, errors.Annotatef(err, "connecting to %s", address)
+		return nil, errors.WithType(errors.Annotatef(err, "connecting to %s", address), ErrNotConnected)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
