Give the stand-ins of each script an address of their own

Cause: all stand-ins listened on one loopback address, where the port of a killed one can go to a stand-in of another script. That one which does not check orders ran the request is the likely cause; the records of that run were gone, so it was not seen. Ruled out: records lost by the kill; each is written to the file before its answer. Conclusion: scripts no longer share addresses; a further failure would be a fault of the router.

--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -188,7 +188,10 @@
 func cmdBackend(ts *testscript.TestScript, _ bool, args []string) {
 	c := of(ts)
 	entries := []string{c.address("h1", 7101), c.address("h2", 7101), c.address("h3", 7101)}
-	argv := []string{"agatestep-standin", "--backend", args[0], "--service", args[1], "--data-centre", args[2],
+	// An address of its own: the port of a killed stand-in may go to that of another
+	// script, and one that does not check orders would run this script's requests.
+	listen := fmt.Sprintf("%s.%d:0", c.prefix, 100+len(c.procs))
+	argv := []string{"agatestep-standin", "--backend", args[0], "--service", args[1], "--data-centre", args[2], "--listen", listen,
 		"--entry", strings.Join(entries, ","), "--record-file", filepath.Join(c.dir, args[0]+".record")}
 	c.run(ts, args[0], append(argv, args[3:]...)...)
 	c.until(ts, "backend server "+args[0], func() bool { return c.serving(args[0]) })
