Keep each package's comment in doc.go

Cause: a reader looks for the package comment in one place. Ruled out: none. Before and after: no behaviour changes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,4 +1,3 @@
-// Package cli is the command-line tool of operators and teams.
 package cli
 
 import (
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -1,4 +1,3 @@
-// Package daemoncli is the command line of the daemon.
 package daemoncli
 
 import (
--- /dev/null
+++ b/internal/daemoncli/doc.go
@@ -0,0 +1,2 @@
+// Package daemoncli is the command line of the daemon.
+package daemoncli
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,6 +1,3 @@
-// Package limit decides how many requests one backend server gets at once: its
-// concurrency limit, its cold start and its bounded, deadline-aware queue. It
-// knows no transport and no clock; the caller passes the time and holds a lock.
 package limit
 
 import "time"
--- a/internal/standin/standincli/standincli.go
+++ b/internal/standin/standincli/standincli.go
@@ -1,4 +1,3 @@
-// Package standincli is the command line of the stand-in backend server.
 package standincli
 
 import (
