--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -84,7 +84,7 @@
 }
 
 // Guards the loss of a backend server: it is proposed only when the lease with
-// its margin is surely over, and not because this host itself was deaf.
+// its margin is surely over, and not while this host itself could not hear announcements.
 func TestSilenceIsProposedAsLoss(t *testing.T) {
 	w := newWorld(t, nil).ready()
 	w.sweepOver(500 * time.Millisecond)
@@ -94,13 +94,13 @@
 	w.sweepOver(100 * time.Millisecond)
 	w.until("loss", func() bool { return w.proposed(isLost) })
 
-	for name, deaf := range map[string]func(w *world){
+	for name, cutOff := range map[string]func(w *world){
 		"session": func(w *world) { w.validFor(0); w.sweepOver(2 * time.Second); w.validFor(time.Hour) },
 		"pause":   func(w *world) { w.pass(time.Minute); w.sweepOver(100 * time.Millisecond) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, nil).ready()
-			deaf(w)
+			cutOff(w)
 			w.sweepOver(800 * time.Millisecond)
 			w.True(!w.proposed(isLost))
 			w.sweepOver(400 * time.Millisecond)
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -2,15 +2,7 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"errors"
 	"fmt"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,17 +12,13 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 
-	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/agatestep/agatestep/internal/admin"
 	"github.com/agatestep/agatestep/internal/command"
-	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/standin"
-	"github.com/agatestep/agatestep/internal/timeline"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
@@ -410,84 +398,3 @@
 }
 
 const adminToken = "let-the-operator-in"
-
-// identities are the certificates and the token of a cluster with mutual TLS.
-type identities struct {
-	dir     string
-	foreign []string // hosts with a certificate of a foreign authority
-	client  *tls.Config
-}
-
-func (i *identities) settings(host string) string {
-	cert := i.dir + "/ours"
-	if slices.Contains(i.foreign, host) {
-		cert = i.dir + "/foreign"
-	}
-	return fmt.Sprintf("tls: {mode: mutual, cert_file: %[1]s, key_file: %[1]s, ca_file: %[2]s/ours}\nadmin: {token_file: %[2]s/token}\n", cert, i.dir)
-}
-
-func (c *cluster) client(host string) *admin.Client {
-	if c.ids == nil {
-		return admin.NewClient([]string{c.address(host, 7104)}, "", nil)
-	}
-	return admin.NewClient([]string{c.address(host, 7104)}, adminToken, c.ids.client)
-}
-
-// cmdIdentities turns on mutual TLS and the token; the hosts named get a foreign certificate.
-func cmdIdentities(ts *testscript.TestScript, _ bool, foreign []string) {
-	c := of(ts)
-	c.ids = &identities{dir: ts.MkAbs("tls"), foreign: foreign}
-	ts.Check(os.Mkdir(c.ids.dir, 0o700))
-	ts.Check(os.WriteFile(c.ids.dir+"/token", []byte(adminToken+"\n"), 0o600))
-	ours, theirs := c.ids.dir+"/ours", c.ids.dir+"/foreign"
-	ts.Check(errors.Join(writeIdentity(ours, c.prefix), writeIdentity(theirs, c.prefix)))
-	_, client, err := peer.LoadTLS(peer.TLSFiles{CertFile: ours, KeyFile: ours, CAFile: ours})
-	ts.Check(err)
-	c.ids.client = client
-	client.RootCAs.AppendCertsFromPEM([]byte(ts.ReadFile(theirs))) // to see the status of foreign hosts
-	for name, file := range map[string]string{"TOKEN": c.ids.dir + "/token", "CERT": ours, "KEY": ours, "CA": ours} {
-		ts.Setenv("AGATESTEP_"+name+"_FILE", file)
-	}
-}
-
-// writeIdentity writes a certificate for all hosts, which is its own authority, and its key into one file.
-func writeIdentity(file, prefix string) error {
-	public, key, _ := ed25519.GenerateKey(rand.Reader)
-	cert := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
-	for n := range 5 {
-		cert.IPAddresses = append(cert.IPAddresses, net.ParseIP(fmt.Sprintf("%s.%d", prefix, n+1)))
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, cert, cert, public, key)
-	private, keyErr := x509.MarshalPKCS8PrivateKey(key)
-	text := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw})
-	text = append(text, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private})...)
-	return errors.Join(err, keyErr, os.WriteFile(file, text, 0o600))
-}
-
-// Guards against calls without a certificate of the authority, and false hosts.
-func TestPeersNeedCertificates(t *testing.T) {
-	identity := func(prefix string) (server, client *tls.Config) {
-		file := t.TempDir() + "/host"
-		is.New(t).NoErr(writeIdentity(file, prefix))
-		server, client, _ = peer.LoadTLS(peer.TLSFiles{CertFile: file, KeyFile: file, CAFile: file})
-		return server, client
-	}
-	server, client := identity("127.0.0")
-	foreignServer, foreignClient := identity("127.0.0")
-	foreignClient.RootCAs, foreignServer.ClientCAs = client.RootCAs, server.ClientCAs
-	for name, c := range map[string]struct{ server, client *tls.Config }{
-		"same authority": {server, client}, "certificate of another": {server, foreignClient}, "no TLS": {server, nil},
-		"no certificate": {server, &tls.Config{RootCAs: client.RootCAs}}, "server of another authority": {foreignServer, client},
-	} {
-		is, clock := is.New(t), timeline.NewClock(time.Now)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		is.NoErr(err)
-		s := peer.NewServer(clock)
-		s.Register("echo", peer.Handle(func(_ context.Context, text string) (string, error) { return text, nil }))
-		go func() { _ = s.Serve(l, c.server) }()
-		got := ""
-		err = peer.NewClient(clock, c.client).Call(context.Background(), l.Addr().String(), "echo", "hello", &got)
-		is.Equal(err == nil && got == "hello", name == "same authority") // by name
-	}
-}
