--- a/cmd/agatestepd/main.go
+++ b/cmd/agatestepd/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/agatestep/agatestep/internal/daemoncli"
+	"github.com/agatestep/agatestep/platform"
 )
 
-func main() { os.Exit(daemoncli.Run(os.Args[1:])) }
+func main() { os.Exit(daemoncli.Run(os.Args[1:], platform.Adapter{})) }
--- /dev/null
+++ b/internal/backlog/doc.go
@@ -0,0 +1,4 @@
+// Package backlog estimates how long a request would wait at a backend server that
+// other entry hosts send to as well, and decides whether to send it now, to hold
+// it back or to refuse it. It knows neither clock nor transport.
+package backlog
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -17,6 +17,14 @@
 	return &Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
+// SetBurst changes the most extra requests in a row.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // OnRequest adds the share of one request.
 func (b *Budget) OnRequest() {
 	b.mu.Lock()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -5,6 +5,8 @@
 
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/agatestep/agatestep/internal/items"
 )
 
 // Command is a union: exactly one field is set.
@@ -22,6 +24,40 @@
 	Repair           *Repair           `msgpack:",omitempty"`
 	HandOver         *HandOver         `msgpack:",omitempty"`
 	HandedOver       *HandedOver       `msgpack:",omitempty"`
+	PatchItems       *PatchItems       `msgpack:",omitempty"`
+	BackendReported  *BackendReported  `msgpack:",omitempty"`
+	Granted          *Granted          `msgpack:",omitempty"`
+}
+
+// PatchItems sets and removes configuration items, all or none. It needs no
+// request id, because an item whose version is not higher changes nothing.
+type PatchItems struct {
+	Items []items.Item
+}
+
+// BackendReported records what a backend server says of itself in its heartbeats,
+// when it is new or has changed.
+type BackendReported struct {
+	Service    string
+	Backend    string
+	Born       int64 // wall-clock start of the process, Unix milliseconds
+	DataCentre string
+	Address    string // IP:port of its HTTP listener
+	Slots      int
+	Cold       bool
+	// Leaving is set once and for all when the backend server announces its end.
+	Leaving bool
+}
+
+// Granted completes moves to one backend server of slices that their old owners
+// have given up. It is proposed when the next owner can be told at once.
+type Granted struct {
+	Service string
+	Backend string
+	// Starts are the starts of the slices; Epochs their epochs at the time of the
+	// release. A slice with another epoch is left alone.
+	Starts []uint64
+	Epochs []uint64
 }
 
 // HandOver asks the dispatcher of a backend server to give its role to another host.
@@ -134,6 +170,8 @@
 type Split struct {
 	Service string
 	Hashes  []uint64
+	// Cuts are hashes at which a new slice begins.
+	Cuts []uint64 `msgpack:",omitempty"`
 }
 
 // Publish replaces or adds service files.
@@ -245,6 +283,7 @@
 		c.HostJoined != nil, c.HostLost != nil, c.BackendAnnounced != nil, c.BackendLost != nil,
 		c.Released != nil, c.Move != nil, c.Split != nil, c.Publish != nil, c.Drain != nil,
 		c.LeaderElected != nil, c.Repair != nil, c.HandOver != nil, c.HandedOver != nil,
+		c.PatchItems != nil, c.BackendReported != nil, c.Granted != nil,
 	} {
 		if set {
 			n++
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -18,6 +18,9 @@
 	// Slow are the backend servers that have been stragglers for long, with the
 	// factor by which their slices count as heavier than measured.
 	Slow map[string]float64
+	// Pace is how fast backend servers work relative to the median one; one that is
+	// missing counts as the median.
+	Pace map[string]float64
 }
 
 // View is all that the decision about sessions depends on.
@@ -89,6 +92,17 @@
 	return []command.Command{{Move: cmd}}
 }
 
+// paceUnits is the weight of one slot at the median pace, so that weights, which
+// are whole numbers, tell paces apart.
+const paceUnits = 20
+
+func weight(slots int, pace float64) int {
+	if pace <= 0 {
+		pace = 1
+	}
+	return max(1, int(float64(slots*paceUnits)*pace+0.5))
+}
+
 func incomplete(t *table.Table, service string, servers []placement.Server) bool {
 	c := ownership.NewCoverage(servers)
 	for s := range t.AllSlices(service) {
@@ -103,7 +117,7 @@
 // them. A slice on the move counts for its next owner.
 func placementView(t *table.Table, service string, loads Loads) (servers []placement.Server, list []placement.Slice, moving int) {
 	for _, b := range t.Members(service) {
-		servers = append(servers, placement.Server{Name: b.Name, DataCentre: b.DataCentre, Slots: b.Slots})
+		servers = append(servers, placement.Server{Name: b.Name, DataCentre: b.DataCentre, Slots: weight(b.Slots, loads.Pace[b.Name])})
 	}
 	for s := range t.AllSlices(service) {
 		p := placement.Slice{Owner: s.Owner, Standby: s.Standby, Load: loads.Slices[s.Start]}
--- /dev/null
+++ b/internal/control/heartbeat.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Heartbeat records what a backend server says of itself and grants it the keys
+// that it owns. It is answered by the leader only.
+func (l *Leader) Heartbeat(ctx context.Context, hb wire.Heartbeat) wire.HeartbeatReply {
+	received := l.cfg.Clock.Now()
+	if err := l.establish(ctx); err != nil {
+		return wire.HeartbeatReply{Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
+	}
+	t := l.cfg.State.Table()
+	if t.Service(hb.Service) == nil {
+		// Nothing is recorded, so nothing is promised: the server says it again.
+		return wire.HeartbeatReply{Reason: fmt.Sprintf("no configuration names service %q", hb.Service)}
+	}
+	newest, err := l.observe(received, &hb, t)
+	if err != nil {
+		return wire.HeartbeatReply{Reason: err.Error()}
+	}
+	if !newest {
+		l.cfg.Logger.Info("late heartbeat ignored", zap.String("backend", hb.Backend), zap.Int64("born", hb.Born), zap.Uint64("sequence", hb.Sequence))
+		return wire.HeartbeatReply{Acked: true}
+	}
+	if reply, done := l.record(ctx, &hb); done {
+		return reply
+	}
+	l.grantFreed(ctx, &hb)
+	l.beginMoves(ctx, &hb)
+	return l.lease(&hb)
+}
+
+// observe takes a heartbeat in before anything is committed for it.
+func (l *Leader) observe(now time.Time, hb *wire.Heartbeat, t *table.Table) (newest bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, st, ok := l.lead(); !ok {
+		return false, errors.New(notLeading(st))
+	}
+	return l.keeper.Observe(now, hb, t.SlicesOf(hb.Service, hb.Backend)), nil
+}
+
+// record commits what is new in a heartbeat. done is set with the final reply
+// when no lease is to be granted.
+func (l *Leader) record(ctx context.Context, hb *wire.Heartbeat) (reply wire.HeartbeatReply, done bool) {
+	b := l.cfg.State.Table().Backend(hb.Service, hb.Backend)
+	r := &command.BackendReported{Service: hb.Service, Backend: hb.Backend, Born: hb.Born, DataCentre: hb.DataCentre,
+		Address: hb.Address, Slots: hb.Slots, Cold: hb.ColdMs > 0, Leaving: hb.Leaving}
+	if b != nil && !reportChanges(b, r) {
+		return reply, false
+	}
+	res, err := l.commit(ctx, command.Command{BackendReported: r})
+	switch {
+	case err != nil:
+		return wire.HeartbeatReply{Reason: fmt.Sprintf("recording the heartbeat: %v", err)}, true
+	case res.Code == command.ResultStale:
+		l.cfg.Logger.Info("heartbeat of an earlier process ignored", zap.String("backend", hb.Backend), zap.String("reason", res.Detail))
+		return wire.HeartbeatReply{Acked: true, Reason: res.Detail}, true
+	case res.Code != command.ResultOK:
+		return wire.HeartbeatReply{Refused: true, Reason: res.Detail}, true
+	}
+	l.cfg.Logger.Info("backend server recorded", zap.String("backend", hb.Backend), zap.String("service", hb.Service),
+		zap.Int64("born", hb.Born), zap.Uint64("sequence", hb.Sequence), zap.Bool("leaving", hb.Leaving),
+		zap.Int64("cold_ms", hb.ColdMs), zap.Uint64("revision", res.Revision))
+	return reply, false
+}
+
+func reportChanges(b *table.Backend, r *command.BackendReported) bool {
+	return b.Lost || b.Born != r.Born || b.Address != r.Address || b.DataCentre != r.DataCentre ||
+		b.Slots != r.Slots || b.Cold != r.Cold || (r.Leaving && !b.Leaving)
+}
+
+// grantFreed completes the moves to a backend server whose old owners have given
+// their slices up. It waits for the heartbeat of the next owner, so that requests
+// go there only when it can be told at once.
+func (l *Leader) grantFreed(ctx context.Context, hb *wire.Heartbeat) {
+	t := l.cfg.State.Table()
+	l.mu.Lock()
+	starts, epochs := l.keeper.Freed(hb.Service, hb.Backend, t.AllSlices(hb.Service))
+	l.mu.Unlock()
+	if len(starts) == 0 {
+		return
+	}
+	res, err := l.commit(ctx, command.Command{Granted: &command.Granted{
+		Service: hb.Service, Backend: hb.Backend, Starts: starts, Epochs: epochs}})
+	if err != nil || res.Code != command.ResultOK {
+		l.cfg.Logger.Warn("grant not committed; the next heartbeat tries again", zap.String("backend", hb.Backend),
+			zap.Int("slices", len(starts)), zap.Error(err))
+		return
+	}
+	l.mu.Lock()
+	l.keeper.Granted(hb.Service, starts, res.Revision)
+	l.mu.Unlock()
+	l.cfg.Logger.Info("slices granted", zap.String("backend", hb.Backend), zap.Int("slices", len(starts)), zap.Uint64("epoch", res.Revision))
+}
+
+// lease answers with everything that the backend server owns, if this process
+// still holds the leader lease.
+func (l *Leader) lease(hb *wire.Heartbeat) wire.HeartbeatReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, st, ok := l.lead()
+	if !ok {
+		return wire.HeartbeatReply{Reason: notLeading(st)}
+	}
+	t := l.cfg.State.Table()
+	b := t.Backend(hb.Service, hb.Backend)
+	if b == nil || b.Lost || b.Born != hb.Born {
+		return wire.HeartbeatReply{Acked: true, Reason: "the process was replaced meanwhile"}
+	}
+	reply := wire.HeartbeatReply{Acked: true, Leader: st.LeaderHost}
+	if s := t.Service(hb.Service); s == nil || !s.File.Keyed() {
+		return reply
+	}
+	if reply.Holds, reply.Grant = l.keeper.Grant(r.now, hb, t.SlicesOf(hb.Service, hb.Backend)); reply.Grant {
+		reply.HoldMs = l.cfg.BackendHold.Milliseconds()
+	}
+	return reply
+}
+
+// Deregister records that a backend server leaves, whatever its service.
+func (l *Leader) Deregister(ctx context.Context, d wire.Deregister) wire.HeartbeatReply {
+	if err := l.establish(ctx); err != nil {
+		return wire.HeartbeatReply{Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
+	}
+	t := l.cfg.State.Table()
+	for _, s := range t.Services() {
+		b := t.Backend(s.File.Service, d.Backend)
+		if b == nil || !b.ByHeartbeat || b.Leaving || b.Lost {
+			continue
+		}
+		res, err := l.commit(ctx, command.Command{BackendReported: &command.BackendReported{
+			Service: b.Service, Backend: b.Name, Born: b.Born, DataCentre: b.DataCentre, Address: b.Address,
+			Slots: b.Slots, Cold: b.Cold, Leaving: true}})
+		if err != nil {
+			return wire.HeartbeatReply{Reason: fmt.Sprintf("recording the end: %v", err)}
+		}
+		l.cfg.Logger.Info("backend server deregistered", zap.String("backend", d.Backend), zap.String("service", b.Service),
+			zap.Int64("born", b.Born), zap.String("result", string(res.Code)), zap.Uint64("revision", res.Revision))
+	}
+	return wire.HeartbeatReply{Acked: true}
+}
+
+// decideHeld returns the losses of backend servers whose leases by heartbeat are
+// surely over. The caller holds l.mu.
+func (l *Leader) decideHeld(now time.Time, t *table.Table) []command.Command {
+	var out []command.Command
+	for _, s := range t.Services() {
+		for _, b := range t.Backends(s.File.Service) {
+			if b.ByHeartbeat && !b.Lost && l.keeper.Lost(now, b) {
+				out = append(out, command.Command{BackendLost: &command.BackendLost{
+					Service: b.Service, Backend: b.Name, Incarnation: strconv.FormatInt(b.Born, 10)}})
+			}
+		}
+	}
+	l.keeper.Forget(t)
+	return out
+}
+
+// Operate commits an operator's command on the leader.
+func (l *Leader) Operate(ctx context.Context, c command.Command) (*command.Result, error) {
+	if err := l.establish(ctx); err != nil {
+		return nil, errors.WithType(err, ErrNotLeader)
+	}
+	return l.commit(ctx, c)
+}
+
+// ReadItems returns the configuration items in force. Only a leader that has
+// applied all earlier commands answers.
+func (l *Leader) ReadItems(ctx context.Context) wire.ReadItemsReply {
+	if err := l.establish(ctx); err != nil {
+		return wire.ReadItemsReply{Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
+	}
+	all := l.cfg.State.Items().Standing()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, st, ok := l.lead(); !ok {
+		return wire.ReadItemsReply{Leader: st.LeaderHost, Reason: notLeading(st)}
+	}
+	return wire.ReadItemsReply{OK: true, Items: all}
+}
--- /dev/null
+++ b/internal/control/items.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/items"
+	"github.com/agatestep/agatestep/internal/ownership"
+	"github.com/agatestep/agatestep/internal/service"
+)
+
+// declaredSlices is the number of slices of a service that configuration items
+// name. A deployment may have several hundred backend servers a service, and a
+// heartbeat answer of 4 KiB bounds the ranges that one server can be told.
+const declaredSlices = 1024
+
+// declared is a service that exists because an item names it.
+type declared struct {
+	file     *service.File
+	revision uint64
+}
+
+// Items returns the configuration items in force with the operators' documents.
+func (s *State) Items() *items.Set { return s.items.Load() }
+
+// patchItems applies a patch as a whole or refuses it as a whole.
+func (s *State) patchItems(index uint64, p *command.PatchItems) *command.Result {
+	current := s.items.Load()
+	if problems := current.Validate(p.Items); len(problems) > 0 {
+		res := refused(index, invalidf("%d problems in the configuration, first: %s", len(problems), problems[0]))
+		res.Problems = problems
+		return res
+	}
+	for _, item := range p.Items {
+		if src := s.sources[item.Name]; item.Kind == items.KindService && src != nil {
+			return refused(index, invalidf("service %q is published as a service file (%s)", item.Name, src.Name))
+		}
+	}
+	next, changed := current.Apply(p.Items)
+	if len(changed) == 0 {
+		return &command.Result{Code: command.ResultOK, Detail: "no item has a higher version", Revision: index}
+	}
+	s.items.Store(next)
+	s.patched = changed
+	for _, item := range changed {
+		if item.Kind == items.KindService && !item.Removed {
+			s.declare(item, index)
+		}
+	}
+	atomic.StoreUint64(&s.operated, index)
+	return &command.Result{Code: command.ResultOK, Detail: describe(changed), Revision: index}
+}
+
+func describe(changed []items.Item) string {
+	const most = 4 // keeps the log line of a large patch short
+	names := make([]string, 0, most+1)
+	for i, item := range changed {
+		if i == most {
+			names = append(names, "...")
+			break
+		}
+		names = append(names, item.Name)
+	}
+	return strings.Join(names, " ")
+}
+
+// declare creates a service that an item names for the first time.
+func (s *State) declare(item items.Item, index uint64) {
+	if s.declared[item.Name] != nil {
+		return
+	}
+	file := &service.File{Service: item.Name, Version: 1, ColdStart: service.ColdStart{Limit: 1, Ramp: item.Service.ColdFor}}
+	if item.Service.Keyed {
+		file.Key, file.Slices = &service.KeySource{PathSegment: -1}, declaredSlices
+		s.slices[item.Name] = ownership.New(item.Name, declaredSlices)
+	}
+	s.declared[item.Name] = &declared{file: file, revision: index}
+}
+
+// reported applies what a backend server says of itself. A server that is new
+// gets slices by a later decision of the leader.
+func (s *State) reported(index uint64, r *command.BackendReported) error {
+	if s.declared[r.Service] == nil {
+		return invalidf("backend server %s/%s: no configuration item names the service", r.Service, r.Backend)
+	}
+	ended, err := s.fleet.Report(r, index)
+	if err != nil {
+		return err
+	}
+	if o := s.slices[r.Service]; o != nil && ended[r.Service] {
+		o.Replace(r.Backend, s.fleet, index)
+	}
+	delete(ended, r.Service)
+	for _, name := range sortedNames(ended) {
+		if o := s.slices[name]; o != nil {
+			o.Promote(s.fleet, index)
+		}
+	}
+	if o := s.slices[r.Service]; o != nil && r.Leaving {
+		o.Reassign(s.fleet, index)
+	}
+	return nil
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/keylease"
 )
 
 // LeaderStatus is what the replicated log knows of its leader.
@@ -41,15 +43,22 @@
 
 // Defaults of LeaderConfig.
 const (
-	DefaultSessionTTL       = time.Second
-	DefaultMaxClockDrift    = 0.01
-	DefaultPoll             = 500 * time.Millisecond
-	DefaultTick             = 50 * time.Millisecond
-	DefaultBalanceInterval  = time.Second
-	DefaultMaxMoving        = 32
-	DefaultProposalDeadline = time.Second
+	DefaultSessionTTL    = time.Second
+	DefaultMaxClockDrift = 0.01
+	// DefaultBackendHold spans three heartbeats and a second for finding a new leader.
+	DefaultBackendHold       = 3500 * time.Millisecond
+	DefaultHeartbeatInterval = 870 * time.Millisecond
+	DefaultPoll              = 500 * time.Millisecond
+	DefaultTick              = 50 * time.Millisecond
+	DefaultBalanceInterval   = time.Second
+	DefaultMaxMoving         = 32
+	DefaultProposalDeadline  = time.Second
 )
 
+// backendClockDrift is how much slower the clock of a backend server may measure
+// its lease: 2 % by the interface of backend servers, and a margin for rounding.
+const backendClockDrift = 0.03
+
 // LeaderConfig is the environment of a Leader. Zero values mean the defaults.
 type LeaderConfig struct {
 	State    *State
@@ -62,6 +71,14 @@
 	// Poll bounds one Watch, Tick is the interval of the leader's decisions.
 	Poll time.Duration
 	Tick time.Duration
+	// BackendHold is the lease on keys that an answer to a heartbeat grants, and
+	// HeartbeatInterval the time between two heartbeats of a backend server.
+	BackendHold       time.Duration
+	HeartbeatInterval time.Duration
+	Logger            *zap.Logger
+	// Replicas returns the peer addresses of the control replicas for hosts that
+	// find them through seeds; it may be nil.
+	Replicas func() []string
 	// BalanceInterval is the interval of decisions to split and move slices.
 	BalanceInterval time.Duration
 	// MaxMoving bounds the slices of one service that move at the same time.
@@ -73,6 +90,11 @@
 	setDefault(&c.SessionTTL, DefaultSessionTTL)
 	setDefault(&c.MaxClockDrift, DefaultMaxClockDrift)
 	setDefault(&c.Poll, DefaultPoll)
+	setDefault(&c.BackendHold, DefaultBackendHold)
+	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
 	setDefault(&c.Tick, DefaultTick)
 	setDefault(&c.BalanceInterval, DefaultBalanceInterval)
 	setDefault(&c.MaxMoving, DefaultMaxMoving)
@@ -98,10 +120,14 @@
 	sessions map[string]*session
 	joining  map[string]int // hosts whose HostJoined is on its way
 	loads    *loads
-	balanced time.Time // last decision to split and move
-	again    bool      // the next decision is due at once
-	wake     chan struct{}
-	election singleflight.Group
+	keeper   *keylease.Keeper
+	staged   *staged
+	// firstSeen is when a service without owners had its first backend server.
+	firstSeen map[string]time.Time
+	balanced  time.Time // last decision to split and move
+	again     bool      // the next decision is due at once
+	wake      chan struct{}
+	election  singleflight.Group
 	// orderly is when a dispatcher last began to give its role up in an orderly
 	// way; leases that it granted before may go on for a while.
 	orderly time.Time
@@ -110,14 +136,16 @@
 // NewLeader returns a Leader that does nothing before its first call.
 func NewLeader(cfg LeaderConfig) *Leader {
 	l := &Leader{cfg: cfg.withDefaults(), wake: make(chan struct{})}
-	l.reset(0)
+	l.reset(0, time.Time{})
 	return l
 }
 
-func (l *Leader) reset(term uint64) {
+func (l *Leader) reset(term uint64, since time.Time) {
 	l.term, l.fresh = term, false
 	l.sessions, l.joining = map[string]*session{}, map[string]int{}
 	l.loads = newLoads()
+	l.keeper = keylease.NewKeeper(keylease.Config{Hold: l.cfg.BackendHold, MaxClockDrift: backendClockDrift}, since)
+	l.staged, l.firstSeen = newStaged(), map[string]time.Time{}
 	l.balanced, l.again = time.Time{}, false
 }
 
@@ -141,7 +169,7 @@
 		return leadership{}, st, false
 	}
 	if st.Term != l.term {
-		l.reset(st.Term)
+		l.reset(st.Term, st.ElectedAt)
 	}
 	return leadership{now: now, term: st.Term, graceEnds: st.ElectedAt.Add(l.sessionSpan())}, st, true
 }
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -144,6 +144,9 @@
 	if s == nil {
 		return
 	}
+	for _, start := range c.Cuts {
+		s.cut(c.Service, start, t)
+	}
 	for _, hash := range c.Hashes {
 		key := s.keys[hash]
 		if own, ok := t.Lookup(c.Service, hash); !ok || key == nil || own.Start != hash || hash == 0 {
@@ -157,11 +160,30 @@
 	}
 }
 
+// cut divides the load of a slice that was cut at start by that of its keys.
+func (s *serviceLoads) cut(service string, start uint64, t *table.Table) {
+	part, ok := t.Lookup(service, start)
+	if !ok || part.Start != start || start == 0 {
+		return
+	}
+	load := 0.0
+	for hash, r := range s.keys {
+		if hash >= part.Start && hash <= part.Last {
+			load += r.perSecond
+		}
+	}
+	before, _ := t.Lookup(service, start-1)
+	if r := s.slices[before.Start]; r != nil {
+		r.perSecond = max(0, r.perSecond-load)
+	}
+	s.slices[start] = &rate{perSecond: load}
+}
+
 // view returns the rates of a service by slice start and by key hash.
 func (l *loads) view(service string) Loads {
 	v := Loads{}
 	if s := l.services[service]; s != nil {
-		v.Slices, v.Keys, v.Slow = rates(s.slices), rates(s.keys), s.slow()
+		v.Slices, v.Keys, v.Slow, v.Pace = rates(s.slices), rates(s.keys), s.slow(), s.pace()
 	}
 	return v
 }
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -146,7 +146,8 @@
 	defer timeout.Stop()
 	for {
 		st := l.cfg.Proposer.Status()
-		if !st.IsLeader {
+		if !st.IsLeader || !l.cfg.Clock.Now().Before(st.LeaseUntil) {
+			// A leader that was cut off may lack what another one has acknowledged.
 			return wire.TableReply{Leader: st.LeaderHost, Reason: notLeading(st)}
 		}
 		changed := l.cfg.State.Changed()
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -47,11 +47,11 @@
 	if err := l.establish(ctx); err != nil {
 		return nil // not the leader, or not yet able to commit
 	}
-	v, ok := l.view()
+	v, held, ok := l.view()
 	if !ok {
 		return nil
 	}
-	due := Decide(v)
+	due := append(Decide(v), held...)
 	l.carryOut(ctx, due)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,7 +74,7 @@
 	var due []command.Command
 	for _, s := range t.Services() {
 		if s.File.Keyed() {
-			due = append(due, DecideBalance(t, s.File.Service, loads[s.File.Service], l.cfg.MaxMoving)...)
+			due = append(due, l.balanceService(t, s.File.Service, loads[s.File.Service])...)
 		}
 	}
 	for _, h := range fleet.PlanHandOvers(t) {
@@ -102,14 +102,14 @@
 
 // view collects what Decide needs, if this process leads. Table and sessions are
 // read under the lock, so that a host in the table that is joining is seen as such.
-func (l *Leader) view() (View, bool) {
+func (l *Leader) view() (v View, held []command.Command, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, _, ok := l.lead()
 	if !ok {
-		return View{}, false
+		return View{}, nil, false
 	}
-	v := View{Table: l.cfg.State.Table(), Term: r.term, GraceOver: !r.inGrace(),
+	v = View{Table: l.cfg.State.Table(), Term: r.term, GraceOver: !r.inGrace(),
 		LeasesOver: r.now.Sub(l.orderly) > l.sessionSpan(), Live: map[string]bool{}}
 	for host, s := range l.sessions {
 		v.Live[host] = s.live(r.now)
@@ -118,7 +118,7 @@
 		v.Live[host] = true
 	}
 	l.dropClosed(v, r)
-	return v, true
+	return v, l.decideHeld(r.now, v.Table), true
 }
 
 // balanceView returns what DecideBalance needs, if a decision is due.
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -108,7 +108,12 @@
 		return next, wire.SessionReply{}
 	}
 	l.grant(req, host.Host, r)
+	var replicas []string
+	if l.cfg.Replicas != nil {
+		replicas = l.cfg.Replicas()
+	}
 	return next, wire.SessionReply{
+		Replicas: replicas,
 		Granted:  true,
 		TTLMs:    l.cfg.SessionTTL.Milliseconds(),
 		Leader:   st.LeaderHost,
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -8,12 +8,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/agatestep/agatestep/internal/fleet"
+	"github.com/agatestep/agatestep/internal/items"
 	"github.com/agatestep/agatestep/internal/ownership"
 	"github.com/agatestep/agatestep/internal/table"
 )
 
 // snapshotVersion is the format of State.Snapshot. A reader refuses others.
-const snapshotVersion = 1
+const snapshotVersion = 2
 
 // snapshot is the replicated state in its stored form. Services and slices are
 // in the table.
@@ -25,6 +26,8 @@
 	Fleet    fleet.Dump
 	Sources  []source
 	Results  []result
+	Items    []items.Item
+	Declared []string
 }
 
 // Snapshot returns the whole replicated state.
@@ -44,6 +47,8 @@
 	for _, name := range sortedNames(s.sources) {
 		snap.Sources = append(snap.Sources, *s.sources[name])
 	}
+	snap.Items = s.items.Load().All()
+	snap.Declared = sortedNames(s.declared)
 	for _, r := range s.results.order {
 		snap.Results = append(snap.Results, *r)
 	}
@@ -81,6 +86,16 @@
 		src.file = sv.File
 		sources[src.Service] = src
 	}
+	declaredServices := map[string]*declared{}
+	for _, name := range snap.Declared {
+		sv := t.Service(name)
+		if sv == nil {
+			return errors.Errorf("control snapshot declares service %q, which is not in its table", name)
+		}
+		declaredServices[name] = &declared{file: sv.File, revision: sv.Revision}
+	}
+	s.declared = declaredServices
+	s.items.Store(items.NewSet(snap.Items...))
 	s.fleet = fleet.Load(snap.Fleet)
 	s.sources = sources
 	s.slices = loadSlices(t)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/fleet"
+	"github.com/agatestep/agatestep/internal/items"
 	"github.com/agatestep/agatestep/internal/ownership"
 	"github.com/agatestep/agatestep/internal/table"
 )
@@ -16,10 +17,15 @@
 // State is the replicated state machine. Apply, Snapshot and Restore are called
 // by one goroutine; all other methods are safe for concurrent use.
 type State struct {
-	check    Checker
-	fleet    *fleet.Fleet
-	slices   map[string]*ownership.Slices // keyed services only
-	sources  map[string]*source
+	check   Checker
+	fleet   *fleet.Fleet
+	slices  map[string]*ownership.Slices // keyed services only
+	sources map[string]*source
+	// items are the configuration items with the operators' documents; declared are
+	// the services that they name.
+	items    atomic.Pointer[items.Set]
+	declared map[string]*declared
+	patched  []items.Item // by the command that is being applied
 	results  *results
 	operated uint64
 
@@ -44,14 +50,16 @@
 		check.Set = defaults.Set
 	}
 	s := &State{
-		check:   check,
-		fleet:   fleet.New(),
-		slices:  map[string]*ownership.Slices{},
-		sources: map[string]*source{},
-		results: newResults(),
-		history: newHistory(),
-		changed: make(chan struct{}),
+		check:    check,
+		fleet:    fleet.New(),
+		slices:   map[string]*ownership.Slices{},
+		sources:  map[string]*source{},
+		declared: map[string]*declared{},
+		results:  newResults(),
+		history:  newHistory(),
+		changed:  make(chan struct{}),
 	}
+	s.items.Store(items.NewSet())
 	s.table.Store(table.Empty())
 	s.hosts.Store(&hostRecords{})
 	s.operators.Store(&operatorView{})
@@ -112,6 +120,15 @@
 			b.PutService(table.Service{File: src.file, Revision: index})
 		}
 	}
+	for _, d := range s.declared {
+		if d.revision == index {
+			b.PutService(table.Service{File: d.file, Revision: index})
+		}
+	}
+	for _, item := range s.patched {
+		b.PutItem(item)
+	}
+	s.patched = nil
 	if s.OperatorRevision() == index {
 		s.storeOperatorView()
 	}
@@ -148,6 +165,8 @@
 		return refused(index, invalidf("a command has exactly one kind, this one has %d", n))
 	}
 	switch {
+	case c.PatchItems != nil:
+		return s.patchItems(index, c.PatchItems)
 	case c.Publish != nil:
 		return s.once(index, c.Publish.RequestID, data, func() *command.Result { return s.publishFiles(index, c.Publish) })
 	case c.Drain != nil:
@@ -175,6 +194,8 @@
 		return "", s.fleet.HandedOver(c.HandedOver, index)
 	case c.BackendAnnounced != nil:
 		return "", s.announce(index, c.BackendAnnounced)
+	case c.BackendReported != nil:
+		return "", s.reported(index, c.BackendReported)
 	case c.BackendLost != nil:
 		l := c.BackendLost
 		if err := s.fleet.LoseBackend(table.BackendRef{Service: l.Service, Name: l.Backend}, l.Incarnation, index); err != nil {
@@ -206,6 +227,13 @@
 		}
 		n, err := o.Release(c.Released, index)
 		return countDetail(n, len(c.Released.Starts)), err
+	case c.Granted != nil:
+		o, err := s.keyed(c.Granted.Service)
+		if err != nil {
+			return "", err
+		}
+		n, err := o.Grant(c.Granted, index)
+		return countDetail(n, len(c.Granted.Starts)), err
 	case c.Repair != nil:
 		o, err := s.keyed(c.Repair.Service)
 		if err != nil {
@@ -218,8 +246,8 @@
 		if err != nil {
 			return "", err
 		}
-		n, err := o.Split(c.Split.Hashes)
-		return countDetail(n, len(c.Split.Hashes)), err
+		n, err := o.Split(c.Split.Hashes, c.Split.Cuts)
+		return countDetail(n, len(c.Split.Hashes)+len(c.Split.Cuts)), err
 	}
 }
 
--- a/internal/control/stragglers.go
+++ b/internal/control/stragglers.go
@@ -22,6 +22,9 @@
 	// serviceHalfLife smooths service times. It is short, because a mean that falls
 	// slowly makes a brief straggler look like a lasting one.
 	serviceHalfLife = time.Second
+	// paceWeight makes the pace of a server follow more slowly than its service time,
+	// because keys move by it.
+	paceWeight = 0.3
 	// forgetServer is how long a server is remembered that serves nothing.
 	forgetServer = time.Minute
 )
@@ -30,6 +33,7 @@
 type serverLoad struct {
 	busyMs, count uint64  // since the last fold
 	meanMs        float64 // smoothed time per request
+	paceMs        float64 // the same, smoothed for longer
 	seen          time.Time
 	slowSince     time.Time // zero while it is not slow
 	lasting       bool
@@ -45,6 +49,10 @@
 		s.meanMs = sample
 	}
 	s.meanMs += weight * (sample - s.meanMs)
+	if s.paceMs == 0 {
+		s.paceMs = sample
+	}
+	s.paceMs += weight * paceWeight * (sample - s.paceMs)
 	s.seen, s.busyMs, s.count = now, 0, 0
 }
 
@@ -94,3 +102,31 @@
 	}
 	return out
 }
+
+// Bounds of a pace: a measurement of few requests must not empty or flood a server.
+const (
+	minPace = 0.3
+	maxPace = 2.0
+)
+
+// pace returns how fast servers work relative to the median one.
+func (s *serviceLoads) pace() map[string]float64 {
+	var means []float64
+	for _, server := range s.servers {
+		if server.paceMs > 0 {
+			means = append(means, server.paceMs)
+		}
+	}
+	if len(means) < minCompared {
+		return nil
+	}
+	slices.Sort(means)
+	median := means[(len(means)-1)/2]
+	out := map[string]float64{}
+	for name, server := range s.servers {
+		if server.paceMs > 0 {
+			out[name] = min(max(median/server.paceMs, minPace), maxPace)
+		}
+	}
+	return out
+}
--- a/internal/daemon/adminapi.go
+++ b/internal/daemon/adminapi.go
@@ -11,6 +11,7 @@
 
 	"github.com/agatestep/agatestep/internal/admin"
 	"github.com/agatestep/agatestep/internal/replication"
+	"github.com/agatestep/agatestep/internal/session"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/timeline"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -26,10 +27,15 @@
 
 // Status describes this daemon and the state that it sees.
 func (d *Daemon) Status() admin.Status {
-	t := d.session.Table()
+	return d.status(d.session.Table(), d.session, d.replica)
+}
+
+// status describes a process by the table that it knows. The session and the
+// replica are nil where it has none.
+func (p *process) status(t *table.Table, s *session.Session, r *replica) admin.Status {
 	status := admin.Status{
-		Host: d.settings.Host, DataCentre: d.settings.DataCentre,
-		Session:        d.sessionStatus(t),
+		Host: p.settings.Host, DataCentre: p.settings.DataCentre,
+		Session:        p.sessionStatus(t, s),
 		Services:       []admin.ServiceStatus{},
 		Backends:       []admin.BackendStatus{},
 		Hosts:          []admin.HostStatus{},
@@ -47,15 +53,18 @@
 		})
 		status.Backends = append(status.Backends, backendStatuses(t, s.File.Service)...)
 	}
-	status.Control = d.controlStatus()
+	status.Control = p.controlStatus(r)
 	return status
 }
 
-func (d *Daemon) sessionStatus(t *table.Table) admin.SessionStatus {
-	left := d.session.ValidUntil().Sub(d.clock.Now())
+func (p *process) sessionStatus(t *table.Table, s *session.Session) admin.SessionStatus {
+	if s == nil {
+		return admin.SessionStatus{Revision: t.Revision()}
+	}
+	left := s.ValidUntil().Sub(p.clock.Now())
 	return admin.SessionStatus{
 		Valid: left > 0, LeftMs: max(left, 0).Milliseconds(),
-		Revision: t.Revision(), Leader: d.session.Leader(),
+		Revision: t.Revision(), Leader: s.Leader(),
 	}
 }
 
@@ -71,13 +80,13 @@
 	return out
 }
 
-func (d *Daemon) controlStatus() *admin.ControlStatus {
-	if d.replica == nil {
+func (p *process) controlStatus(r *replica) *admin.ControlStatus {
+	if r == nil {
 		return nil
 	}
-	s := d.replica.node.Load().Status()
+	s := r.node.Load().Status()
 	out := &admin.ControlStatus{
-		Replica: string(s.ID), Group: d.settings.Control.Group, Leader: string(s.Leader),
+		Replica: string(s.ID), Group: p.settings.Control.Group, Leader: string(s.Leader),
 		Term: s.Term, Leading: s.IsLeader, Applied: s.Applied, Members: []admin.MemberStatus{},
 	}
 	if s.Err != nil {
@@ -92,7 +101,7 @@
 }
 
 // Timeline returns the events of this process.
-func (d *Daemon) Timeline(since timeline.Stamp) []timeline.Event { return d.events.Since(since) }
+func (p *process) Timeline(since timeline.Stamp) []timeline.Event { return p.events.Since(since) }
 
 // timelineReadTimeout bounds the read of one process, so that a lost host does
 // not hold up the answer.
@@ -100,17 +109,20 @@
 
 // TimelineAll merges the events of all processes that the table knows.
 func (d *Daemon) TimelineAll(ctx context.Context, since timeline.Stamp) ([]timeline.Event, []string) {
-	hosts := d.session.Table().Hosts()
+	return d.timelineAll(ctx, d.session.Table().Hosts(), since)
+}
+
+func (p *process) timelineAll(ctx context.Context, hosts []table.Host, since timeline.Stamp) ([]timeline.Event, []string) {
 	histories := make([][]timeline.Event, len(hosts)+1)
-	histories[len(hosts)] = d.events.Since(since)
+	histories[len(hosts)] = p.events.Since(since)
 	failed := make([]bool, len(hosts))
 	var wg sync.WaitGroup
 	for i, h := range hosts {
-		if h.Name == d.settings.Host {
+		if h.Name == p.settings.Host {
 			continue
 		}
 		wg.Go(func() {
-			events, err := d.readTimeline(ctx, h.PeerAddress, since)
+			events, err := p.readTimeline(ctx, h.PeerAddress, since)
 			histories[i], failed[i] = events, err != nil
 		})
 	}
@@ -124,11 +136,11 @@
 	return timeline.Merge(histories...), unreachable
 }
 
-func (d *Daemon) readTimeline(ctx context.Context, address string, since timeline.Stamp) ([]timeline.Event, error) {
+func (p *process) readTimeline(ctx context.Context, address string, since timeline.Stamp) ([]timeline.Event, error) {
 	ctx, cancel := context.WithTimeout(ctx, timelineReadTimeout)
 	defer cancel()
 	var reply admin.TimelineReply
-	err := d.client.Call(ctx, address, wire.MethodTimelineRead, wire.TimelineRead{Since: uint64(since)}, &reply)
+	err := p.client.Call(ctx, address, wire.MethodTimelineRead, wire.TimelineRead{Since: uint64(since)}, &reply)
 	return reply.Events, errors.Trace(err)
 }
 
--- /dev/null
+++ b/internal/daemon/adminroles.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/replication"
+	"github.com/agatestep/agatestep/internal/session"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/timeline"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// roleAdmin serves the administration API of a host with one role.
+type roleAdmin struct {
+	*process
+	tables  func() *table.Table
+	session *session.Session // nil on control hosts
+	replica *replica         // nil on entry hosts
+	// hosts are the processes whose time lines are merged.
+	hosts   func() []table.Host
+	operate func(context.Context, wire.Proposal) (wire.ProposalReply, error)
+}
+
+var _ admin.Daemon = (*roleAdmin)(nil)
+
+func (h *EntryHost) adminDaemon() *roleAdmin {
+	hosts := func() []table.Host { return h.session.Table().Hosts() }
+	operate := func(ctx context.Context, p wire.Proposal) (reply wire.ProposalReply, err error) {
+		err = h.client.Call(ctx, h.session.Leader(), wire.MethodOperate, p, &reply)
+		return reply, err
+	}
+	return &roleAdmin{process: h.process, tables: h.session.Table, session: h.session, hosts: hosts, operate: operate}
+}
+
+func (h *ControlHost) adminDaemon() *roleAdmin {
+	hosts := func() []table.Host {
+		out := h.state.Table().Hosts()
+		for _, address := range h.memberAddresses() {
+			if address != h.settings.Listen.Peer {
+				out = append(out, table.Host{Name: address, PeerAddress: address})
+			}
+		}
+		return out
+	}
+	operate := func(ctx context.Context, p wire.Proposal) (wire.ProposalReply, error) {
+		applied := func(r wire.ProposalReply) bool { return r.Status == wire.ProposalApplied }
+		return onLeader(ctx, h, wire.MethodOperate, p, h.handleOperate, applied)
+	}
+	return &roleAdmin{process: h.process, tables: h.state.Table, replica: h.replica, hosts: hosts, operate: operate}
+}
+
+// Operate implements admin.Daemon.
+func (a *roleAdmin) Operate(ctx context.Context, cmd *command.Command, waitMs int64) (wire.ProposalReply, error) {
+	encoded, err := cmd.Encode()
+	if err != nil {
+		return wire.ProposalReply{Status: wire.ProposalDropped}, errors.Trace(err)
+	}
+	reply, err := a.operate(ctx, wire.Proposal{Command: encoded, WaitInForce: waitMs > 0, WaitMs: waitMs})
+	if err == nil && reply.Status != wire.ProposalApplied {
+		err = errors.Annotate(ErrNoLeader, reply.Reason)
+	}
+	return reply, err
+}
+
+// Table implements admin.Daemon.
+func (a *roleAdmin) Table() *table.Table { return a.tables() }
+
+// SessionValid implements admin.Daemon.
+func (a *roleAdmin) SessionValid() bool { return a.session != nil && a.session.Valid() }
+
+// Status implements admin.Daemon.
+func (a *roleAdmin) Status() admin.Status { return a.status(a.tables(), a.session, a.replica) }
+
+// TimelineAll implements admin.Daemon.
+func (a *roleAdmin) TimelineAll(ctx context.Context, since timeline.Stamp) ([]timeline.Event, []string) {
+	return a.timelineAll(ctx, a.hosts(), since)
+}
+
+// ReplicaIdentity implements admin.Daemon.
+func (a *roleAdmin) ReplicaIdentity() (admin.ReplicaIdentity, error) {
+	if a.replica == nil {
+		return admin.ReplicaIdentity{}, errors.New(noReplica)
+	}
+	return a.replica.identity(), nil
+}
+
+// Bootstrap implements admin.Daemon.
+func (a *roleAdmin) Bootstrap(request admin.BootstrapRequest) error {
+	if a.replica == nil {
+		return errors.NewNotValid(nil, noReplica)
+	}
+	return a.replica.bootstrap(request)
+}
+
+// ReplaceReplica implements admin.Daemon. The leader admits and replaces replicas
+// itself; an operator may still do it by hand there.
+func (a *roleAdmin) ReplaceReplica(ctx context.Context, request admin.ReplaceRequest) error {
+	if a.replica == nil {
+		return errors.NewNotValid(nil, noReplica)
+	}
+	if s := a.replica.node.Load().Status(); !s.IsLeader {
+		return errors.NewNotValid(nil, "this replica does not lead; the leader is "+string(replication.ReplicaID(s.Leader)))
+	}
+	return a.replica.replace(ctx, request)
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -27,8 +27,11 @@
 		MaxClockDrift:    cfg.Timing.MaxClockDrift,
 		Seed:             seedOf(cfg.Host, d.instance),
 		Clock:            d.clock,
-		Transport:        newLogTransport(ctx, d.logClient, d.byHost),
-		OnLeaderChange:   d.leaderChanged,
+		Transport: newLogTransport(ctx, d.logClient, func(host string) (string, bool) {
+			address, ok := d.byHost[host]
+			return address, ok
+		}),
+		OnLeaderChange: d.leaderChanged,
 	}, state)
 	if err != nil {
 		return errors.Trace(err)
@@ -52,12 +55,12 @@
 	return h.Sum64()
 }
 
-func (d *Daemon) leaderChanged(leader replication.ReplicaID, term uint64) {
-	d.logger.Info("control leader changed", zap.String("leader", string(leader)), zap.Uint64("term", term))
+func (p *process) leaderChanged(leader replication.ReplicaID, term uint64) {
+	p.logger.Info("control leader changed", zap.String("leader", string(leader)), zap.Uint64("term", term))
 	detail := fmt.Sprintf("term %d", term)
 	if leader == "" {
-		d.record("leader-unknown", d.settings.Control.Group, detail)
+		p.record("leader-unknown", p.settings.Control.Group, detail)
 		return
 	}
-	d.record("leader-changed", leader.Host(), detail)
+	p.record("leader-changed", leader.Host(), detail)
 }
--- /dev/null
+++ b/internal/daemon/controlcalls.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/controlapi"
+	"github.com/agatestep/agatestep/internal/items"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+const (
+	// callTime bounds a call of a backend server or operator. They move on to another
+	// host after a second.
+	callTime = 850 * time.Millisecond
+	// forwardTimeout bounds one call to the leader, so that another one can be found
+	// within callTime.
+	forwardTimeout = 350 * time.Millisecond
+	// leaderPause is the wait for a leader while none is known.
+	leaderPause = 30 * time.Millisecond
+)
+
+// leaderAddress returns the peer address of the leader. own is set if it is this
+// host.
+func (h *ControlHost) leaderAddress() (address string, own bool) {
+	s := h.replica.node.Load().Status()
+	return s.Leader.Host(), s.IsLeader
+}
+
+// onLeader calls the leader, here or on another host, until the answer is final
+// or the time is over.
+func onLeader[P, R any](ctx context.Context, h *ControlHost, method string, params P,
+	local func(context.Context, P) (R, error), final func(R) bool) (reply R, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	err = errors.WithType(errors.New("no leader is known"), controlapi.ErrUnavailable)
+	for ctx.Err() == nil {
+		address, own := h.leaderAddress()
+		switch {
+		case own:
+			reply, err = local(ctx, params)
+		case address != "":
+			reply, err = forward[P, R](ctx, h, address, method, params)
+		}
+		if err == nil && final(reply) {
+			return reply, nil
+		}
+		pause(ctx, leaderPause)
+	}
+	return reply, err
+}
+
+func forward[P, R any](ctx context.Context, h *ControlHost, address, method string, params P) (reply R, err error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	err = h.client.Call(ctx, address, method, params, &reply)
+	return reply, err
+}
+
+func heartbeatFinal(r wire.HeartbeatReply) bool { return r.Acked || r.Refused }
+
+// Heartbeat implements controlapi.API.
+func (h *ControlHost) Heartbeat(ctx context.Context, hb wire.Heartbeat) wire.HeartbeatReply {
+	reply, err := onLeader(ctx, h, wire.MethodHeartbeat, hb, h.handleHeartbeat, heartbeatFinal)
+	if err != nil {
+		reply.Reason = err.Error()
+	}
+	if !reply.Acked {
+		h.logger.Info("heartbeat not acknowledged", zap.String("backend", hb.Backend), zap.String("service", hb.Service),
+			zap.Uint64("sequence", hb.Sequence), zap.Bool("leaving", hb.Leaving), zap.String("reason", reply.Reason))
+	}
+	return reply
+}
+
+// Deregister implements controlapi.API.
+func (h *ControlHost) Deregister(ctx context.Context, d wire.Deregister) wire.HeartbeatReply {
+	reply, err := onLeader(ctx, h, wire.MethodDeregister, d, h.handleDeregister, heartbeatFinal)
+	if err != nil {
+		reply.Reason = err.Error()
+	}
+	return reply
+}
+
+// HeartbeatAddress implements controlapi.API. All control hosts serve on the same
+// port.
+func (h *ControlHost) HeartbeatAddress(leader string) string {
+	if leader == "" {
+		return ""
+	}
+	return net.JoinHostPort(hostOf(leader), portOf(h.settings.Listen.Control))
+}
+
+// PatchItems implements controlapi.API.
+func (h *ControlHost) PatchItems(ctx context.Context, patch []items.Item) error {
+	return h.operate(ctx, "items patched", &command.Command{PatchItems: &command.PatchItems{Items: patch}}, zap.Int("items", len(patch)))
+}
+
+// DrainDataCentre implements controlapi.API.
+func (h *ControlHost) DrainDataCentre(ctx context.Context, name string, out bool) error {
+	drain := &command.Drain{RequestID: rand.Text(), Kind: command.DrainDataCentre, Name: name, Out: out}
+	return h.operate(ctx, "data centre drained or restored", &command.Command{Drain: drain}, zap.String("data_centre", name), zap.Bool("out", out))
+}
+
+// operate commits an operator's command. Every command may be committed twice:
+// versions or request ids tell a repetition.
+func (h *ControlHost) operate(ctx context.Context, what string, c *command.Command, fields ...zap.Field) error {
+	encoded, err := c.Encode()
+	if err != nil {
+		return errors.WithType(err, controlapi.ErrRefused)
+	}
+	applied := func(r wire.ProposalReply) bool { return r.Status == wire.ProposalApplied && r.Result != nil }
+	reply, err := onLeader(ctx, h, wire.MethodOperate, wire.Proposal{Command: encoded}, h.handleOperate, applied)
+	switch {
+	case err != nil:
+		err = errors.WithType(err, controlapi.ErrUnavailable)
+	case !applied(reply):
+		err = errors.WithType(errors.Errorf("%s: %s", reply.Status, reply.Reason), controlapi.ErrUnavailable)
+	case reply.Result.Code != command.ResultOK:
+		err = errors.WithType(errors.New(reply.Result.Detail), controlapi.ErrRefused)
+	default:
+		fields = append(fields, zap.Uint64("revision", reply.Result.Revision), zap.String("result", reply.Result.Detail))
+	}
+	h.logger.Info(what, append(fields, zap.Error(err))...)
+	return err
+}
+
+// ReadItems implements controlapi.API.
+func (h *ControlHost) ReadItems(ctx context.Context) ([]items.Item, error) {
+	reply, err := onLeader(ctx, h, wire.MethodReadItems, wire.ReadItems{}, h.handleReadItems, func(r wire.ReadItemsReply) bool { return r.OK })
+	if err == nil && !reply.OK {
+		err = errors.New(reply.Reason)
+	}
+	if err != nil {
+		return nil, errors.WithType(err, controlapi.ErrUnavailable)
+	}
+	return reply.Items, nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,40 +1,20 @@
 package daemon
 
 import (
-	"context"
-	"crypto/rand"
-	"crypto/tls"
-	"net"
-	"net/http"
-	"sync"
-
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/control"
 	"github.com/agatestep/agatestep/internal/dispatch"
 	"github.com/agatestep/agatestep/internal/entry"
-	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/session"
 	"github.com/agatestep/agatestep/internal/settings"
-	"github.com/agatestep/agatestep/internal/timeline"
 )
 
-// Daemon is one process of the system.
+// Daemon is one process of a deployment whose hosts all have the same roles.
 type Daemon struct {
-	settings *settings.Settings
-	logger   *zap.Logger
-	events   *timeline.Ring
-	clock    clock.Clock
-	instance string
-
-	serverTLS *tls.Config
-	clientTLS *tls.Config
-	client    *peer.Client // calls
-	logClient *peer.Client // messages of the replicated log
-	peers     *peer.Server
+	*process
 
 	replicas []string          // peer addresses of the control replicas
 	byHost   map[string]string // peer address by host of a control replica
@@ -44,34 +24,25 @@
 	entry      *entry.Handler
 	replica    *replica        // nil on hosts without a control replica
 	leader     *control.Leader // nil on hosts without a control replica
-
-	listeners map[string]net.Listener
-	servers   []*http.Server
-	// background counts the loops that end when cancel is called.
-	background sync.WaitGroup
-	cancel     context.CancelFunc
 }
 
 // New puts a daemon together and opens its listeners and its data folder. It
 // serves nothing before Run.
 func New(cfg *settings.Settings, logger *zap.Logger) (*Daemon, error) {
-	d := &Daemon{
-		settings: cfg, logger: logger, clock: clock.Real{}, instance: rand.Text(),
-		byHost: map[string]string{}, listeners: map[string]net.Listener{},
-	}
-	hlc := timeline.NewClock(d.clock.Now)
-	d.events = timeline.NewRing(cfg.Host, hlc, timeline.DefaultCapacity)
-	if err := d.loadTLS(); err != nil {
+	p, err := newProcess(cfg, logger)
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	d.client = peer.NewClient(hlc, d.clientTLS)
-	d.logClient = peer.NewClient(hlc, d.clientTLS)
-	d.peers = peer.NewServer(hlc)
+	d := &Daemon{process: p, byHost: map[string]string{}}
 	for _, r := range cfg.Control.Replicas {
 		d.replicas = append(d.replicas, r.Peer)
 		d.byHost[r.Host] = r.Peer
 	}
-	if err := d.listen(); err != nil {
+	l := cfg.Listen
+	if err := d.listen(map[string]string{
+		listenTraffic: l.Traffic, listenBackends: l.Backends, listenPeer: l.Peer,
+		listenRelay: l.Relay, listenAdmin: l.Admin,
+	}); err != nil {
 		d.closeListeners()
 		return nil, errors.Trace(err)
 	}
@@ -79,47 +50,6 @@
 	return d, nil
 }
 
-func (d *Daemon) loadTLS() error {
-	t := d.settings.TLS
-	if t.Mode != settings.TLSMutual {
-		return nil
-	}
-	var err error
-	d.serverTLS, d.clientTLS, err = peer.LoadTLS(peer.TLSFiles{CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile})
-	return errors.Trace(err)
-}
-
-// The listeners of a daemon.
-const (
-	listenTraffic  = "traffic"
-	listenBackends = "backends"
-	listenPeer     = "peer"
-	listenRelay    = "relay"
-	listenAdmin    = "admin"
-)
-
-func (d *Daemon) listen() error {
-	l := d.settings.Listen
-	addresses := map[string]string{
-		listenTraffic: l.Traffic, listenBackends: l.Backends, listenPeer: l.Peer,
-		listenRelay: l.Relay, listenAdmin: l.Admin,
-	}
-	for name, address := range addresses {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return errors.Annotatef(err, "opening the %s listener", name)
-		}
-		d.listeners[name] = listener
-	}
-	return nil
-}
-
-func (d *Daemon) closeListeners() {
-	for _, l := range d.listeners {
-		_ = l.Close()
-	}
-}
-
 func (d *Daemon) buildTraffic() {
 	cfg := d.settings
 	d.session = session.New(session.Config{
--- /dev/null
+++ b/internal/daemon/entryhost.go
@@ -0,0 +1,214 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/coldgate"
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/gateway"
+	"github.com/agatestep/agatestep/internal/peer"
+	"github.com/agatestep/agatestep/internal/session"
+	"github.com/agatestep/agatestep/internal/settings"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Parts of the limits for all hosts together that this version uses. The rest
+// covers requests that are on their way, and hosts that were not known yet.
+const (
+	retryRatioUsed = 0.7
+	retrySlackUsed = 0.6
+	coldRateUsed   = 0.8
+	coldSlackUsed  = 0.6
+	// drainTimeUsed is the part of the time to drain for which a leaving backend
+	// server is used. The rest is for the way of the news and of the requests.
+	drainTimeUsed    = 0.5
+	evacuateTimeUsed = 0.5
+)
+
+// EntryHost serves callers in a deployment whose hosts have one role each.
+type EntryHost struct {
+	*process
+	adapter Adapter
+	session *session.Session
+	gateway *gateway.Gateway
+
+	permits sync.Mutex // guards cold
+	cold    *coldgate.Gate
+}
+
+// NewEntryHost puts an entry host together and opens its listeners.
+func NewEntryHost(cfg *settings.Settings, logger *zap.Logger, adapter Adapter) (*EntryHost, error) {
+	p, err := newProcess(cfg, logger)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	h := &EntryHost{process: p, adapter: adapter, cold: coldgate.New()}
+	l := cfg.Listen
+	if err := h.listen(map[string]string{listenTraffic: l.Traffic, listenReadiness: l.Readiness, listenPeer: l.Peer, listenAdmin: l.Admin}); err != nil {
+		h.closeListeners()
+		return nil, errors.Trace(err)
+	}
+	h.session = session.New(session.Config{
+		// Requests are not relayed; the relay address only has to be one of this host.
+		Host: command.HostJoined{Host: cfg.Host, DataCentre: cfg.DataCentre, PeerAddress: l.Peer, RelayAddress: l.Traffic, AdminAddress: l.Admin},
+
+		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, Clock: h.clock, Logger: logger,
+		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.RenewInterval, WatchPoll: cfg.Timing.WatchPoll,
+		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, Record: h.record,
+	})
+	d := cfg.Deployment
+	h.gateway = gateway.New(gateway.Config{
+		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, ColdPermit: h.coldPermit,
+		Dialect: adapter, Clock: h.clock, Logger: logger,
+		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * float64(d.RetrySlack),
+			LeaveFor:    time.Duration(drainTimeUsed * float64(d.DrainTime)),
+			EvacuateFor: time.Duration(evacuateTimeUsed * float64(d.EvacuateTime))},
+	})
+	return h, nil
+}
+
+// seedReplicas returns the seeds as replicas, which are named by their addresses.
+func seedReplicas(cfg *settings.Settings) []session.Replica {
+	var out []session.Replica
+	for _, address := range seedAddresses(cfg) {
+		out = append(out, session.Replica{Host: address, Address: address})
+	}
+	return out
+}
+
+func (h *EntryHost) tableChanged(t *table.Table) {
+	h.gateway.TableChanged(t)
+	counters.revision.Set(int64(t.Revision()))
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (h *EntryHost) Run(ctx, hard context.Context) error {
+	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	h.cancel = cancel
+	token, err := h.adminToken()
+	if err != nil {
+		h.closeListeners()
+		return errors.Trace(err)
+	}
+	h.peers.Register(wire.MethodTimelineRead, peer.Handle(h.handleTimeline))
+	h.peers.Register(wire.MethodColdPermit, peer.Handle(h.handleColdPermit))
+	go func() { _ = h.peers.Serve(h.listeners[listenPeer], h.serverTLS) }() // ends with its listener
+	traffic := h.serveHTTP(listenTraffic, h.gateway, nil)
+	h.serveHTTP(listenReadiness, h.adapter.ReadinessHandler(h.ready), nil)
+	h.serveHTTP(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
+	h.background.Go(func() { h.session.Run(loops) })
+	h.background.Go(func() { h.cleanLoop(loops) })
+	h.logger.Info("started", zap.String("host", h.settings.Host), zap.String("data_centre", h.settings.DataCentre), zap.String("role", settings.RoleEntry))
+	h.record("started", h.settings.Host, "")
+	<-ctx.Done()
+	return h.shutdown(hard, traffic)
+}
+
+func (h *EntryHost) ready() bool { return h.gateway.Ready() }
+
+func (h *EntryHost) cleanLoop(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.gateway.Clean()
+		}
+	}
+}
+
+// Bounds of a planned stop.
+const (
+	// unreadyFor is how long the host serves after it reports that it is not ready:
+	// the load balancer asks once a second and believes the second miss.
+	unreadyFor = 2500 * time.Millisecond
+	// quietFor ends a stop early when no request came for as long.
+	quietFor = 500 * time.Millisecond
+	// stopMargin is left for the end of the process.
+	stopMargin = 400 * time.Millisecond
+)
+
+// shutdown reports that the host is not ready and serves on, because callers go on
+// using their connections. It ends when they have left or the time is over.
+func (h *EntryHost) shutdown(hard context.Context, traffic *http.Server) error {
+	h.logger.Info("stopping", zap.Int64("in_flight", h.gateway.InFlight()))
+	h.record("stopping", h.settings.Host, "")
+	began := h.clock.Now()
+	h.gateway.StartShutdown()
+	end := began.Add(h.settings.Deployment.StopTime - stopMargin)
+	for hard.Err() == nil && h.clock.Now().Before(end) {
+		now := h.clock.Now()
+		if now.Sub(began) >= unreadyFor && h.gateway.InFlight() == 0 && h.gateway.Quiet(now) >= quietFor {
+			break
+		}
+		pause(hard, 20*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(hard, stopMargin/2)
+	defer cancel()
+	if err := traffic.Shutdown(ctx); err != nil {
+		h.logger.Warn("requests cut off by the end of the stop", zap.Int64("in_flight", h.gateway.InFlight()), zap.Error(err))
+	}
+	if err := h.session.Close(ctx); err != nil {
+		h.logger.Warn("session not closed; it expires", zap.Error(err))
+	}
+	h.stopServers(ctx)
+	h.logger.Info("stopped", zap.Duration("took", h.clock.Now().Sub(began)))
+	return nil
+}
+
+// permitTimeout bounds the question for a permit: a round trip between data
+// centres and the work of a busy host.
+const permitTimeout = 150 * time.Millisecond
+
+// coldPermit asks the dispatcher of a cold backend server for leave to send.
+func (h *EntryHost) coldPermit(ctx context.Context, b *table.Backend) (wire.ColdPermitReply, error) {
+	request := wire.ColdPermit{Service: b.Service, Backend: b.Name, Born: b.Born}
+	if b.Dispatcher == h.settings.Host {
+		return h.handleColdPermit(ctx, request)
+	}
+	host := h.session.Table().Host(b.Dispatcher)
+	if host == nil {
+		return wire.ColdPermitReply{}, errors.Errorf("backend server %s has no dispatcher", b.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var reply wire.ColdPermitReply
+	err := h.client.Call(ctx, host.PeerAddress, wire.MethodColdPermit, request, &reply)
+	return reply, errors.Trace(err)
+}
+
+// handleColdPermit gives permits for the backend servers whose dispatcher this
+// host is, while its session proves that no other host is.
+func (h *EntryHost) handleColdPermit(_ context.Context, r wire.ColdPermit) (wire.ColdPermitReply, error) {
+	t := h.session.Table()
+	b := t.Backend(r.Service, r.Backend)
+	switch {
+	case !h.session.Valid():
+		return wire.ColdPermitReply{Reason: "the dispatcher has no session"}, nil
+	case b == nil || b.Born != r.Born || b.Dispatcher != h.settings.Host:
+		return wire.ColdPermitReply{Reason: "this host is not the dispatcher of the backend server"}, nil
+	}
+	rate := coldgate.Rate{}
+	if s := t.Items().Service(r.Service); s != nil {
+		d := h.settings.Deployment
+		rate = coldgate.Rate{PerSecond: coldRateUsed * d.ColdOvershoot * s.ColdRate, Burst: coldSlackUsed * float64(d.ColdSlack)}
+	}
+	h.permits.Lock()
+	defer h.permits.Unlock()
+	ok, retry := h.cold.Take(h.clock.Now(), coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, rate)
+	if !ok {
+		return wire.ColdPermitReply{RetryMs: retry.Milliseconds(), Reason: "the rate of the cold backend server is used up"}, nil
+	}
+	return wire.ColdPermitReply{Granted: true}, nil
+}
--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -31,7 +31,7 @@
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(closed.Close())
-	d := &Daemon{client: peer.NewClient(timeline.NewClock(time.Now), nil)}
+	d := &Daemon{process: &process{client: peer.NewClient(timeline.NewClock(time.Now), nil)}}
 	reply, err := d.proposeAt(context.Background(), closed.Addr().String(), wire.MethodOperate, wire.Proposal{})
 	is.NoErr(err)
 	is.Equal(worse(wire.ProposalReply{Status: wire.ProposalDropped}, reply, err).Status, wire.ProposalDropped)
--- /dev/null
+++ b/internal/daemon/process.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/peer"
+	"github.com/agatestep/agatestep/internal/settings"
+	"github.com/agatestep/agatestep/internal/timeline"
+)
+
+// process is what all processes of the system have in common.
+type process struct {
+	settings *settings.Settings
+	logger   *zap.Logger
+	events   *timeline.Ring
+	clock    clock.Clock
+	instance string
+
+	serverTLS *tls.Config
+	clientTLS *tls.Config
+	client    *peer.Client // calls
+	logClient *peer.Client // messages of the replicated log
+	peers     *peer.Server
+
+	listeners map[string]net.Listener
+	servers   []*http.Server
+	// background counts the loops that end when cancel is called.
+	background sync.WaitGroup
+	cancel     context.CancelFunc
+}
+
+func newProcess(cfg *settings.Settings, logger *zap.Logger) (*process, error) {
+	p := &process{settings: cfg, logger: logger, clock: clock.Real{}, instance: rand.Text(), listeners: map[string]net.Listener{}}
+	hlc := timeline.NewClock(p.clock.Now)
+	p.events = timeline.NewRing(cfg.Host, hlc, timeline.DefaultCapacity)
+	if err := p.loadTLS(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	p.client = peer.NewClient(hlc, p.clientTLS)
+	p.logClient = peer.NewClient(hlc, p.clientTLS)
+	p.peers = peer.NewServer(hlc)
+	return p, nil
+}
+
+func (p *process) loadTLS() error {
+	t := p.settings.TLS
+	if t.Mode != settings.TLSMutual {
+		return nil
+	}
+	var err error
+	p.serverTLS, p.clientTLS, err = peer.LoadTLS(peer.TLSFiles{CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile})
+	return errors.Trace(err)
+}
+
+// The listeners of a process.
+const (
+	listenTraffic   = "traffic"
+	listenBackends  = "backends"
+	listenPeer      = "peer"
+	listenRelay     = "relay"
+	listenAdmin     = "admin"
+	listenReadiness = "readiness"
+	listenControl   = "control"
+)
+
+func (p *process) listen(addresses map[string]string) error {
+	for name, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Annotatef(err, "opening the %s listener", name)
+		}
+		p.listeners[name] = listener
+	}
+	return nil
+}
+
+func (p *process) closeListeners() {
+	for _, l := range p.listeners {
+		_ = l.Close()
+	}
+}
+
+// headerReadTimeout bounds the time that a connection may take to send its headers.
+const headerReadTimeout = 10 * time.Second
+
+// idleTimeout closes kept connections of callers that send nothing.
+const idleTimeout = 2 * time.Minute
+
+func (p *process) serveHTTP(name string, handler http.Handler, config *tls.Config) *http.Server {
+	var listener net.Listener = netutil.LimitListener(p.listeners[name], p.settings.Limits.Connections)
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    p.settings.Limits.HeaderBytes,
+		ErrorLog:          zap.NewStdLog(p.logger),
+	}
+	p.servers = append(p.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.logger.Error("listener ended", zap.String("listener", name), zap.Error(err))
+		}
+	}()
+	return server
+}
+
+func (p *process) stopServers(ctx context.Context) {
+	p.cancel()
+	for _, server := range p.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	}
+	p.closeListeners()
+	p.peers.Close()
+	p.client.Close()
+	p.logClient.Close()
+	p.background.Wait()
+}
+
+// record adds an event to the time line and counts it by kind.
+func (p *process) record(kind, subject, detail string) {
+	p.events.Record(kind, subject, detail)
+	counters.events.Add(kind, 1)
+}
--- a/internal/daemon/rpc.go
+++ b/internal/daemon/rpc.go
@@ -84,6 +84,6 @@
 	return reply, errors.Trace(err)
 }
 
-func (d *Daemon) handleTimeline(_ context.Context, request wire.TimelineRead) (admin.TimelineReply, error) {
-	return admin.TimelineReply{Events: d.events.Since(timeline.Stamp(request.Since))}, nil
+func (p *process) handleTimeline(_ context.Context, request wire.TimelineRead) (admin.TimelineReply, error) {
+	return admin.TimelineReply{Events: p.events.Since(timeline.Stamp(request.Since))}, nil
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -11,18 +9,11 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/agatestep/agatestep/internal/admin"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
-// headerReadTimeout bounds the time that a connection may take to send its headers.
-const headerReadTimeout = 10 * time.Second
-
-// idleTimeout closes kept connections of callers that send nothing.
-const idleTimeout = 2 * time.Minute
-
 // Run serves until ctx ends, then stops gracefully: it takes no new work, hands
 // its roles on and finishes the requests in flight. It returns when all is done
 // or when hard ends, or after the settings' bound on a stop.
@@ -62,37 +53,21 @@
 	return nil
 }
 
-func (d *Daemon) adminToken() (string, error) {
-	if d.settings.Admin.TokenFile == "" {
+func (p *process) adminToken() (string, error) {
+	if p.settings.Admin.TokenFile == "" {
 		return "", nil
 	}
-	data, err := os.ReadFile(d.settings.Admin.TokenFile)
+	data, err := os.ReadFile(p.settings.Admin.TokenFile)
 	if err != nil {
 		return "", errors.Annotate(err, "reading the administration token")
 	}
 	token := strings.TrimSpace(string(data))
 	if token == "" {
-		return "", errors.Errorf("administration token file %q is empty", d.settings.Admin.TokenFile)
+		return "", errors.Errorf("administration token file %q is empty", p.settings.Admin.TokenFile)
 	}
 	return token, nil
 }
 
-func (d *Daemon) serveHTTP(name string, handler http.Handler, config *tls.Config) {
-	var listener net.Listener = netutil.LimitListener(d.listeners[name], d.settings.Limits.Connections)
-	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerReadTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
-		ErrorLog:          zap.NewStdLog(d.logger),
-	}
-	d.servers = append(d.servers, server)
-	go func() { _ = server.Serve(listener) }()
-}
-
 // shutdown stops in the order that loses nothing. First it takes no new callers
 // and hands leadership on, while its session lasts: other hosts still relay to
 // its dispatchers. Then it closes the session, so that the standby dispatchers
@@ -105,7 +80,7 @@
 	left, cancelDelay := context.WithTimeout(hard, d.settings.Shutdown.Delay)
 	defer cancelDelay()
 	d.entry.StartShutdown()
-	d.handLeadershipOn(ctx)
+	d.handLeadershipOn(ctx, d.replica)
 	d.finishCallers(ctx)
 	d.handRolesOn(ctx)
 	if err := d.session.Close(ctx); err != nil {
@@ -148,11 +123,11 @@
 const leadershipTimeout = 500 * time.Millisecond
 
 // handLeadershipOn transfers leadership to the first voter that takes it.
-func (d *Daemon) handLeadershipOn(ctx context.Context) {
-	if d.replica == nil {
+func (p *process) handLeadershipOn(ctx context.Context, r *replica) {
+	if r == nil {
 		return
 	}
-	node := d.replica.node.Load()
+	node := r.node.Load()
 	status := node.Status()
 	if !status.IsLeader {
 		return
@@ -164,19 +139,5 @@
 			return
 		}
 	}
-	d.logger.Warn("no replica took the leadership over")
-}
-
-func (d *Daemon) stopServers(ctx context.Context) {
-	d.cancel()
-	for _, server := range d.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			_ = server.Close()
-		}
-	}
-	d.closeListeners()
-	d.peers.Close()
-	d.client.Close()
-	d.logClient.Close()
-	d.background.Wait()
+	p.logger.Warn("no replica took the leadership over")
 }
--- a/internal/daemon/transport.go
+++ b/internal/daemon/transport.go
@@ -17,25 +17,25 @@
 // logTransport carries messages of the replicated log. Each destination has a
 // goroutine of its own, so that a silent one holds up no other.
 type logTransport struct {
-	ctx       context.Context
-	client    *peer.Client
-	addresses map[string]string // peer address by host
+	ctx     context.Context
+	client  *peer.Client
+	resolve func(host string) (address string, ok bool)
 
 	mu      sync.Mutex
 	queues  map[string]chan replication.Message
 	dropped atomic.Int64
 }
 
-func newLogTransport(ctx context.Context, client *peer.Client, addresses map[string]string) *logTransport {
+func newLogTransport(ctx context.Context, client *peer.Client, resolve func(host string) (string, bool)) *logTransport {
 	return &logTransport{
-		ctx: ctx, client: client, addresses: addresses,
+		ctx: ctx, client: client, resolve: resolve,
 		queues: map[string]chan replication.Message{},
 	}
 }
 
 // Send implements replication.Transport.
 func (t *logTransport) Send(m replication.Message) {
-	address, ok := t.addresses[m.To.Host()]
+	address, ok := t.resolve(m.To.Host())
 	if !ok {
 		t.dropped.Add(1)
 		return
--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -36,9 +36,3 @@
 	c.entry.Publish("agatestep_entry")
 	return c
 }
-
-// record adds an event to the time line and counts it by kind.
-func (d *Daemon) record(kind, subject, detail string) {
-	d.events.Record(kind, subject, detail)
-	counters.events.Add(kind, 1)
-}
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -40,7 +40,7 @@
 
 // Run serves until a signal arrives. A second signal ends the process without
 // waiting for requests in flight.
-func (c *runCmd) Run() error {
+func (c *runCmd) Run(adapter daemon.Adapter) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -50,12 +50,30 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
-	d, err := daemon.New(s, logger)
+	p, err := newProcess(s, logger, adapter)
 	if err != nil {
 		return err
 	}
 	ctx, hard := signalContexts()
-	return d.Run(ctx, hard)
+	return p.Run(ctx, hard)
+}
+
+// runner is a process that serves until ctx ends and then stops gracefully, or at
+// once when hard ends.
+type runner interface {
+	Run(ctx, hard context.Context) error
+}
+
+// newProcess returns the process for the role of the host.
+func newProcess(s *settings.Settings, logger *zap.Logger, adapter daemon.Adapter) (runner, error) {
+	switch s.Deployment.Role {
+	case settings.RoleEntry:
+		return daemon.NewEntryHost(s, logger, adapter)
+	case settings.RoleControl:
+		return daemon.NewControlHost(s, logger, adapter)
+	default:
+		return daemon.New(s, logger)
+	}
 }
 
 func newLogger(s *settings.Settings) (*zap.Logger, error) {
@@ -86,8 +104,9 @@
 	return soft, hard
 }
 
-// Run parses the command line, runs it and returns the exit code.
-func Run(args []string) int {
+// Run parses the command line, runs it and returns the exit code. The adapter
+// serves hosts with one role.
+func Run(args []string, adapter daemon.Adapter) int {
 	var r root
 	exit := -1
 	parser, err := kong.New(&r, kong.Name("agatestepd"), kong.Exit(func(code int) { exit = code }),
@@ -102,6 +121,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	ctx.BindTo(adapter, (*daemon.Adapter)(nil))
 	if err := ctx.Run(); err != nil {
 		return fail(err)
 	}
--- a/internal/fleet/drains.go
+++ b/internal/fleet/drains.go
@@ -120,6 +120,8 @@
 	for ref, b := range f.backends {
 		if d := f.drained(ref, b.DataCentre); d != b.Draining {
 			b.Draining = d
+			// It may have turned cold meanwhile; its next heartbeat says.
+			b.Cold = b.Cold || (b.ByHeartbeat && !d)
 			f.changedBackends[ref] = true
 			services[ref.Service] = true
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -129,7 +129,7 @@
 func (f *Fleet) Available(service string) []placement.Server {
 	var out []placement.Server
 	for ref, b := range f.backends {
-		if ref.Service == service && !b.Lost && !b.Draining {
+		if ref.Service == service && !b.Lost && !b.Draining && !b.Leaving {
 			out = append(out, placement.Server{Name: b.Name, DataCentre: b.DataCentre, Slots: b.Slots})
 		}
 	}
--- /dev/null
+++ b/internal/fleet/reports.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// Report records what a backend server says in its heartbeats. It returns the
+// services in which a server ended: an address serves one process at a time, so
+// a process that was born later ends whatever was at its address or had its name.
+func (f *Fleet) Report(r *command.BackendReported, index uint64) (ended map[string]bool, err error) {
+	ref := table.BackendRef{Service: r.Service, Name: r.Backend}
+	if err := checkReport(r); err != nil {
+		return nil, err
+	}
+	old := f.backends[ref]
+	if old != nil && r.Born < old.Born {
+		return nil, stalef("backend server %s/%s: the process born at %d was replaced by one born at %d",
+			r.Service, r.Backend, r.Born, old.Born)
+	}
+	others, err := f.othersAt(ref, r)
+	if err != nil {
+		return nil, err
+	}
+	ended = map[string]bool{}
+	for _, other := range others {
+		f.loseHeld(other, index)
+		ended[other.Service] = true
+	}
+	next := reported(r)
+	if old != nil {
+		next.Past, next.Epoch = old.Past, old.Epoch
+		next.Dispatcher, next.StandbyDispatcher = old.Dispatcher, old.StandbyDispatcher
+		if old.Born == r.Born {
+			next.Leaving = r.Leaving || old.Leaving
+		} else if !old.Lost {
+			ended[r.Service] = true
+		}
+	}
+	next.Draining = f.drained(ref, r.DataCentre)
+	if old != nil && old.Backend == next.Backend {
+		return ended, nil
+	}
+	if old == nil {
+		f.insertOrder(ref)
+	}
+	if old == nil || old.Lost || old.Born != next.Born || old.Address != next.Address {
+		next.Epoch = index
+	}
+	f.backends[ref] = next
+	f.changedBackends[ref] = true
+	f.assignDispatchers(index, ref)
+	return ended, nil
+}
+
+func reported(r *command.BackendReported) *Backend {
+	return &Backend{Backend: table.Backend{
+		Name:        r.Backend,
+		Service:     r.Service,
+		Incarnation: strconv.FormatInt(r.Born, 10),
+		Born:        r.Born,
+		DataCentre:  r.DataCentre,
+		Address:     r.Address,
+		Slots:       r.Slots,
+		Cold:        r.Cold,
+		Leaving:     r.Leaving,
+		ByHeartbeat: true,
+	}}
+}
+
+func checkReport(r *command.BackendReported) error {
+	switch {
+	case r.Backend == "" || r.DataCentre == "":
+		return invalidf("heartbeat of backend server %q in data centre %q: both names are required", r.Backend, r.DataCentre)
+	case r.Slots < 1:
+		return invalidf("backend server %s/%s: slots is %d, must be at least 1", r.Service, r.Backend, r.Slots)
+	}
+	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+		return invalidf("backend server %s/%s: address %q is not IP:port", r.Service, r.Backend, r.Address)
+	}
+	return nil
+}
+
+// othersAt returns the servers at the address of a report that it ends. A report
+// of a process older than one of them is late, and is refused.
+func (f *Fleet) othersAt(ref table.BackendRef, r *command.BackendReported) ([]table.BackendRef, error) {
+	var out []table.BackendRef
+	for _, other := range f.sortedBackends() {
+		b := f.backends[other]
+		if other == ref || b.Address != r.Address || b.Lost {
+			continue
+		}
+		if r.Born <= b.Born {
+			return nil, stalef("backend server %s/%s born at %d: its address %s belongs to %s/%s, born at %d",
+				r.Service, r.Backend, r.Born, r.Address, other.Service, other.Name, b.Born)
+		}
+		out = append(out, other)
+	}
+	return out, nil
+}
+
+func (f *Fleet) loseHeld(ref table.BackendRef, index uint64) {
+	b := f.backends[ref]
+	b.Lost, b.LostAt, b.Epoch = true, index, index
+	f.changedBackends[ref] = true
+	f.forgetBackends()
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/balance"
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/upstream"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Config gives a gateway its place in the system.
+type Config struct {
+	Host       string
+	DataCentre string
+	Tables     func() *table.Table
+	// ColdPermit asks the dispatcher of a cold backend server for leave to send to it.
+	ColdPermit func(ctx context.Context, b *table.Backend) (wire.ColdPermitReply, error)
+	Dialect    Dialect
+	Clock      clock.Clock
+	Logger     *zap.Logger
+	Limits     Limits
+}
+
+// Limits bound what one gateway does.
+type Limits struct {
+	// RetryRatio and RetryBurst bound the requests that all hosts together send once
+	// more, per service. Each host has a share of the burst.
+	RetryRatio float64
+	RetryBurst float64
+	// LeaveFor is how long after a backend server's end was announced it still
+	// serves the keys that it holds.
+	LeaveFor time.Duration
+	// EvacuateFor is the same after its data centre was taken out.
+	EvacuateFor time.Duration
+}
+
+// Timeouts towards backend servers.
+const (
+	// dialTimeout is several round trips between data centres. A longer wait would
+	// use up the time of the request.
+	dialTimeout = 250 * time.Millisecond
+	// userTimeout ends a connection whose bytes are not acknowledged.
+	userTimeout = 700 * time.Millisecond
+	// probeIdle is when an idle connection is probed. Probes cost processor time.
+	probeIdle = 3 * time.Second
+	// maxIdle is how long an idle connection is kept; backend servers close theirs
+	// after some ten seconds.
+	maxIdle = 8 * time.Second
+)
+
+// Gateway is the http.Handler for callers.
+type Gateway struct {
+	cfg      Config
+	client   *upstream.Client
+	split    *splitter
+	counters *Counters
+
+	mu       sync.Mutex
+	servers  map[serverKey]*server
+	budgets  map[string]*balance.Budget
+	services map[string]*serviceTimes
+	marks    map[serverKey]mark
+	changed  chan struct{} // closed by the next table
+
+	loads *loads
+	// hosts is the largest number of entry hosts that this process has seen.
+	hosts    int
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	lastSeen atomic.Int64 // Unix nanoseconds of the last request
+}
+
+// serverKey names a process of a backend server.
+type serverKey struct {
+	service string
+	backend string
+	born    int64
+}
+
+func keyOf(b *table.Backend) serverKey { return serverKey{b.Service, b.Name, b.Born} }
+
+// mark is when this host learned that a backend server leaves or is taken out.
+type mark struct {
+	leaving  time.Time
+	draining time.Time
+}
+
+// New returns a gateway.
+func New(cfg Config) *Gateway {
+	g := &Gateway{
+		cfg: cfg, split: newSplitter(), counters: counters,
+		servers: map[serverKey]*server{}, budgets: map[string]*balance.Budget{},
+		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{},
+		changed: make(chan struct{}), loads: newLoads(),
+	}
+	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, UserTimeout: userTimeout,
+		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock})
+	return g
+}
+
+// Ready reports whether this host can serve callers.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && !g.cfg.Tables().Items().Empty()
+}
+
+// StartShutdown makes the gateway report that it is not ready and ask callers to
+// leave. It goes on serving.
+func (g *Gateway) StartShutdown() { g.stopping.Store(true) }
+
+// InFlight returns the requests that are being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Quiet reports how long ago the last request came.
+func (g *Gateway) Quiet(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, g.lastSeen.Load()))
+}
+
+// Clean closes connections that are not used any more. It is called every second.
+func (g *Gateway) Clean() {
+	g.client.Clean()
+	g.counters.Opened.Set(g.client.Opened.Load())
+	g.counters.Reused.Set(g.client.Reused.Load())
+}
+
+// TableChanged takes note of a new table.
+func (g *Gateway) TableChanged(t *table.Table) {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n := len(t.Hosts()); n > g.hosts {
+		g.hosts = n
+		for _, b := range g.budgets {
+			b.SetBurst(g.burst())
+		}
+	}
+	present := map[serverKey]bool{}
+	for _, s := range t.Services() {
+		for _, b := range t.Backends(s.File.Service) {
+			if !b.Lost {
+				present[keyOf(b)] = true
+				g.note(b, now)
+			}
+		}
+	}
+	for key, s := range g.servers {
+		if !present[key] && s.idle() {
+			delete(g.servers, key)
+		}
+	}
+	for key := range g.marks {
+		if !present[key] {
+			delete(g.marks, key)
+		}
+	}
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *Gateway) note(b *table.Backend, now time.Time) {
+	key := keyOf(b)
+	m := g.marks[key]
+	if b.Leaving && m.leaving.IsZero() {
+		m.leaving = now
+	}
+	switch {
+	case b.Draining && m.draining.IsZero():
+		m.draining = now
+	case !b.Draining:
+		m.draining = time.Time{}
+	}
+	if m != (mark{}) {
+		g.marks[key] = m
+	} else {
+		delete(g.marks, key)
+	}
+}
+
+// mayServeHeld reports whether a backend server may still get requests for keys
+// that it holds: not for long after it announced its end or was taken out.
+func (g *Gateway) mayServeHeld(b *table.Backend, now time.Time) bool {
+	if b.Lost {
+		return false
+	}
+	g.mu.Lock()
+	m := g.marks[keyOf(b)]
+	g.mu.Unlock()
+	if b.Leaving && now.Sub(m.leaving) >= g.cfg.Limits.LeaveFor {
+		return false
+	}
+	return !b.Draining || now.Sub(m.draining) < g.cfg.Limits.EvacuateFor
+}
+
+// tableChange returns a channel that the next table closes.
+func (g *Gateway) tableChange() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+func (g *Gateway) budget(service string) *balance.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = balance.NewBudget(g.cfg.Limits.RetryRatio, g.burst())
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// burst is this host's share of the retries in a row. Shares of hosts that are
+// lost stay unused, because those may be alive and out of reach.
+func (g *Gateway) burst() float64 { return max(g.cfg.Limits.RetryBurst/float64(max(g.hosts, 1)), 1) }
+
+// Loads returns what was served since the last call, for placement.
+func (g *Gateway) Loads() []wire.SliceLoads { return g.loads.take() }
+
+var _ http.Handler = (*Gateway)(nil)
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/upstream"
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := g.cfg.Clock.Now()
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	g.lastSeen.Store(now.UnixNano())
+	g.counters.Requests.Add(1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, refusal := g.read(w, r, g.cfg.Tables(), now)
+	if refusal != nil {
+		g.refuse(w, r, c, refusal, 0)
+		return
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	resp, failure, retryAfter := g.run(ctx, c)
+	if failure != nil {
+		g.refuse(w, r, c, failure, retryAfter)
+		return
+	}
+	g.answer(w, c, resp)
+}
+
+// smallAnswer is the size up to which an answer is read whole before its head is
+// sent, so that one that breaks off can still be replaced.
+const smallAnswer = 64 << 10
+
+// held is an answer that may have been read whole.
+type held struct {
+	*upstream.Response
+	// start is the part of the body that was read; rest is set if there may be more.
+	start []byte
+	rest  bool
+}
+
+// hold reads a small answer whole.
+func hold(resp *upstream.Response) (*held, error) {
+	h := &held{Response: resp}
+	if resp.ContentLength > smallAnswer {
+		h.rest = true
+		return h, nil
+	}
+	var buf bytes.Buffer
+	if resp.ContentLength > 0 {
+		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, smallAnswer))
+	h.start = buf.Bytes()
+	h.rest = n == smallAnswer
+	return h, err
+}
+
+// answer passes the answer of a backend server on.
+func (g *Gateway) answer(w http.ResponseWriter, c *call, resp *held) {
+	defer resp.Body.Close()
+	copyHeader(w.Header(), resp.Header)
+	if !resp.rest {
+		w.Header().Set("Content-Length", itoa(len(resp.start)))
+	} else if resp.ContentLength >= 0 {
+		w.Header().Set("Content-Length", itoa(int(resp.ContentLength)))
+	}
+	if c.request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
+		w.Header().Del("Content-Length")
+		if length := resp.Header.Get("Content-Length"); length != "" && c.request.Method == http.MethodHead {
+			w.Header().Set("Content-Length", length)
+		}
+	}
+	w.WriteHeader(resp.StatusCode)
+	_, err := w.Write(resp.start)
+	if err == nil && resp.rest {
+		_, err = io.Copy(struct{ io.Writer }{w}, resp.Body)
+	}
+	g.finished(c, resp.StatusCode, err)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the only way to end an answer that must not look complete
+	}
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range connectionHeaders {
+		to.Del(name)
+	}
+	if len(to["Content-Type"]) == 0 {
+		to["Content-Type"] = nil // keeps net/http from guessing one
+	}
+}
+
+func (g *Gateway) finished(c *call, status int, err error) {
+	took := g.cfg.Clock.Now().Sub(c.arrived)
+	outcome := "answered"
+	switch {
+	case err != nil:
+		outcome = "broken-off"
+	case status >= http.StatusInternalServerError:
+		outcome = "failed"
+	}
+	g.count(c, outcome, took)
+	if err != nil || status >= http.StatusInternalServerError || c.sends > 1 {
+		g.cfg.Logger.Info("request "+outcome, append(c.fields(), zap.Int("status", status), zap.Duration("took", took), zap.Error(err))...)
+	}
+}
+
+func (g *Gateway) count(c *call, outcome string, took time.Duration) {
+	kind := "unrouted"
+	if c != nil && c.match != nil {
+		kind = "non-idempotent"
+		if c.match.Idempotent {
+			kind = "idempotent"
+		}
+	}
+	g.counters.Outcomes.Add(kind+" "+outcome, 1)
+	g.counters.latencies.record(kind+" "+outcome, took)
+}
+
+// fields describe a call in a log line.
+func (c *call) fields() []zap.Field {
+	if c == nil || c.match == nil {
+		return nil
+	}
+	return []zap.Field{zap.String("request", c.ID), zap.String("route", c.match.Name), zap.Uint64("route_version", c.match.Version),
+		zap.String("service", c.service), zap.Int("sends", c.sends)}
+}
+
+// refuse answers a request that no backend server answered.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c *call, e *verdict.Error, retryAfter time.Duration) {
+	took := time.Duration(0)
+	if c != nil {
+		took = g.cfg.Clock.Now().Sub(c.arrived)
+	}
+	outcome := "refused"
+	if e.Verdict != verdict.NotRun {
+		outcome = "failed"
+	}
+	if e.Reason == verdict.ReasonCancelled {
+		outcome = "cancelled"
+	}
+	g.count(c, outcome, took)
+	g.counters.Refusals.Add(string(e.Reason), 1)
+	fields := append(c.fields(), zap.String("verdict", e.Verdict.String()), zap.Int("status", e.Status), zap.String("reason", string(e.Reason)),
+		zap.String("detail", e.Detail), zap.Duration("took", took), zap.Duration("retry_after", retryAfter),
+		zap.Uint64("revision", g.cfg.Tables().Revision()), zap.NamedError("cause", e.Cause))
+	if c == nil {
+		fields = append(fields, zap.String("host", r.Host), zap.String("path", r.URL.Path))
+	}
+	g.cfg.Logger.Info("request "+outcome, fields...)
+	if id := r.Header.Get(g.cfg.Dialect.IDHeader()); id != "" {
+		w.Header().Set(g.cfg.Dialect.IDHeader(), id)
+	}
+	g.cfg.Dialect.Refuse(w.Header(), e, retryAfter)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(e.Status)
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = io.WriteString(w, e.Detail+"\n")
+}
+
+// bodyTooLarge reports whether a failure was caused by a body over the limit.
+func bodyTooLarge(err error) bool {
+	var tooLarge *http.MaxBytesError
+	return errors.As(err, &tooLarge)
+}
+
+func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/gateway/pick.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/backlog"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// localAdvantage is how much longer a backend server in this data centre may take
+// and still be preferred: bytes between data centres cost, and the way is longer.
+const localAdvantage = 10 * time.Millisecond
+
+// failingCost is the time that a server's share of failed requests counts for.
+const failingCost = 400 * time.Millisecond
+
+// pick returns the backend server of a call without key that is expected to answer
+// first, of those that it was not sent to yet.
+func (g *Gateway) pick(t *table.Table, c *call, now time.Time, d backlog.Demand) (target, *verdict.Error, time.Duration) {
+	members := t.Members(c.service)
+	if len(members) == 0 {
+		return target{reason: "the service has no backend server"}, nil, misdirectedPause
+	}
+	var best *table.Backend
+	var bestCost, bestWait time.Duration
+	decision := backlog.Refuse
+	for _, i := range rand.Perm(len(members)) {
+		b := members[i]
+		s := g.server(b)
+		if _, down := s.isDown(now); down || c.tried[keyOf(b)] && len(c.tried) < len(members) {
+			continue
+		}
+		s.mu.Lock()
+		verdictOf, delay := s.backlog.Admit(now, d)
+		cost := delay + time.Duration(s.backlog.Pace(now)*float64(d.Service)) + time.Duration(s.backlog.Failing(now)*float64(failingCost))
+		cost += time.Duration(s.backlog.InFlight()) * time.Millisecond // spreads load among servers that look alike
+		s.mu.Unlock()
+		if b.DataCentre != g.cfg.DataCentre {
+			cost += localAdvantage
+		}
+		if b.Cold {
+			cost += d.Service
+		}
+		if best == nil || verdictOf < decision || verdictOf == decision && cost < bestCost {
+			best, bestCost, bestWait, decision = b, cost, delay, verdictOf
+		}
+	}
+	switch {
+	case best == nil:
+		return target{reason: "no backend server of the service can be reached"}, nil, misdirectedPause
+	case decision == backlog.Refuse:
+		return target{}, overloaded(bestWait), bestWait - d.Left/2
+	case decision == backlog.Hold:
+		return target{reason: "the queues of all backend servers are full"}, nil, holdPause
+	}
+	return target{backend: best}, nil, 0
+}
+
+// permitCold asks the dispatcher of a cold backend server for leave to send.
+func (g *Gateway) permitCold(ctx context.Context, c *call, b *table.Backend) *verdict.Error {
+	reply, err := g.cfg.ColdPermit(ctx, b)
+	if err == nil && reply.Granted {
+		g.counters.ColdPermits.Add(1)
+		return nil
+	}
+	detail := reply.Reason
+	if err != nil {
+		detail = err.Error()
+	}
+	g.cfg.Logger.Info("no permit for a cold backend server", append(c.fields(), zap.String("backend", b.Name),
+		zap.String("dispatcher", b.Dispatcher), zap.String("detail", detail))...)
+	return verdict.Unavailable(verdict.ReasonOverloaded, "the backend server is cold: "+detail)
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,354 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/backlog"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/upstream"
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+const (
+	// maxSends bounds how often a request is written to backend servers that say
+	// that they did not run it.
+	maxSends = 4
+	// holdShare is the part of a request's time that it may be held for its key's
+	// next owner. A caller that is refused later than that has no time to return.
+	holdShare = 0.35
+	// misdirectedPause is the first wait after a backend server did not hold the
+	// key; a newer table ends it earlier.
+	misdirectedPause = 60 * time.Millisecond
+	// holdPause is how long a request is held when its server's queue is full.
+	holdPause = 15 * time.Millisecond
+	// minRetryAfter and retrySpread set when refused callers come back, so that
+	// they do not all return at once.
+	minRetryAfter = 40 * time.Millisecond
+	retrySpread   = 0.3
+)
+
+// next says what follows an attempt.
+type next uint8
+
+const (
+	finish next = iota
+	again       // at once
+	wait        // for a newer table or a pause
+)
+
+// run sends a call until it is answered, or may not or cannot be sent again. A
+// refusal comes with the time after which the caller should return.
+func (g *Gateway) run(ctx context.Context, c *call) (*held, *verdict.Error, time.Duration) {
+	budget := g.budget(c.service)
+	budget.OnRequest()
+	var last *verdict.Error
+	var fallback *held // a failure that a backend server answered
+	for {
+		changed := g.tableChange()
+		target, refusal, delay := g.target(c)
+		switch {
+		case fallback != nil && target.backend == nil:
+			return fallback, nil, 0
+		case refusal != nil:
+			return nil, pickFailure(last, refusal), spread(delay)
+		case target.backend == nil:
+			if !g.mayHold(c) {
+				return nil, pickFailure(last, notServed(target.reason)), spread(delay)
+			}
+			waitFor(ctx, changed, delay)
+			if e := ended(ctx); e != nil {
+				return nil, pickFailure(last, e), 0
+			}
+			continue
+		}
+		if c.sends > 0 && !budget.TrySpend() {
+			if fallback != nil {
+				return fallback, nil, 0
+			}
+			if last == nil {
+				last = verdict.Unavailable(verdict.ReasonOverloaded, "the retry budget is used up")
+			}
+			return nil, last, spread(minRetryAfter)
+		}
+		resp, failure, follow := g.attempt(ctx, c, target)
+		if failure == nil && follow == finish {
+			return resp, nil, 0
+		}
+		if follow == finish || ctx.Err() != nil || !c.maySend() {
+			if resp == nil {
+				resp = fallback
+			}
+			if resp != nil {
+				return resp, nil, 0
+			}
+			return nil, failure, spread(minRetryAfter)
+		}
+		if resp != nil {
+			if resp.rest {
+				return resp, nil, 0
+			}
+			resp.Body.Close()
+			fallback = resp
+		}
+		last = failure
+		g.counters.Retries.Add(1)
+		if follow == wait {
+			if !g.mayHold(c) {
+				return fallback, failureUnless(fallback, failure), spread(misdirectedPause)
+			}
+			waitFor(ctx, changed, misdirectedPause)
+		}
+	}
+}
+
+func failureUnless(fallback *held, e *verdict.Error) *verdict.Error {
+	if fallback != nil {
+		return nil
+	}
+	return e
+}
+
+// pickFailure returns the failure to report: one after which the request may have
+// run is never replaced by a refusal.
+func pickFailure(last, refusal *verdict.Error) *verdict.Error {
+	if last != nil && last.Verdict != verdict.NotRun {
+		return last
+	}
+	return refusal
+}
+
+func notServed(reason string) *verdict.Error {
+	return verdict.Unavailable(verdict.ReasonNoBackend, reason)
+}
+
+func ended(ctx context.Context) *verdict.Error {
+	switch ctx.Err() {
+	case nil:
+		return nil
+	case context.DeadlineExceeded:
+		return verdict.Unavailable(verdict.ReasonDeadline, "the time is over before the request was sent")
+	default:
+		return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away")
+	}
+}
+
+// maySend reports whether the call may be written once more.
+func (c *call) maySend() bool {
+	return c.sends < maxSends && c.body.replayable() && c.ran < max(c.match.MaxAttempts, 1)
+}
+
+// mayHold reports whether the call may still be held back.
+func (g *Gateway) mayHold(c *call) bool {
+	whole := c.until.Sub(c.arrived)
+	return float64(g.cfg.Clock.Now().Sub(c.arrived)) < holdShare*float64(whole)
+}
+
+func spread(d time.Duration) time.Duration {
+	d = max(d, minRetryAfter)
+	return d + time.Duration(rand.Float64()*retrySpread*float64(d))
+}
+
+// target is where a call goes.
+type target struct {
+	backend *table.Backend
+	slice   table.Slice
+	reason  string // why there is no backend
+}
+
+// target chooses the backend server of a call. Without one, the delay is how long
+// to wait for a change; with a refusal, it is when the caller should return.
+func (g *Gateway) target(c *call) (target, *verdict.Error, time.Duration) {
+	t := g.cfg.Tables()
+	now := g.cfg.Clock.Now()
+	demand := g.demand(c, now)
+	if c.keyed {
+		return g.owner(t, c, now, demand)
+	}
+	return g.pick(t, c, now, demand)
+}
+
+func (g *Gateway) demand(c *call, now time.Time) backlog.Demand {
+	return backlog.Demand{Service: g.times(c.service).mean(c.match.Name), Left: c.left(now), Rank: c.match.Priority, Ranks: maxRank}
+}
+
+// maxRank is the number of priorities that are told apart; routes of lower
+// priority count as the last one.
+const maxRank = 4
+
+// owner returns the owner of a keyed call's key.
+func (g *Gateway) owner(t *table.Table, c *call, now time.Time, d backlog.Demand) (target, *verdict.Error, time.Duration) {
+	slice, ok := t.Lookup(c.service, c.Hash)
+	if !ok || slice.Owner == "" {
+		return target{reason: "the key has no owner"}, nil, misdirectedPause
+	}
+	b := t.Backend(c.service, slice.Owner)
+	if b == nil || !g.mayServeHeld(b, now) {
+		return target{reason: "the key's owner is leaving or lost"}, nil, misdirectedPause
+	}
+	s := g.server(b)
+	if left, down := s.isDown(now); down {
+		return target{reason: "the key's owner cannot be reached"}, nil, min(left, misdirectedPause)
+	}
+	s.mu.Lock()
+	decision, delay := s.backlog.Admit(now, d)
+	s.mu.Unlock()
+	switch decision {
+	case backlog.Refuse:
+		return target{}, overloaded(delay), delay - d.Left/2
+	case backlog.Hold:
+		return target{reason: "the queue of the key's owner is full"}, nil, holdPause
+	}
+	return target{backend: b, slice: slice}, nil, 0
+}
+
+func overloaded(wait time.Duration) *verdict.Error {
+	return verdict.Unavailable(verdict.ReasonOverloaded, "the expected wait of "+wait.Round(time.Millisecond).String()+" leaves no time for the work")
+}
+
+// attempt sends the call to its target once.
+func (g *Gateway) attempt(ctx context.Context, c *call, t target) (*held, *verdict.Error, next) {
+	s := g.server(t.backend)
+	if t.backend.Cold {
+		if refusal := g.permitCold(ctx, c, t.backend); refusal != nil {
+			return nil, refusal, wait
+		}
+	}
+	s.mu.Lock()
+	s.backlog.Sent()
+	s.mu.Unlock()
+	began := g.cfg.Clock.Now()
+	resp, failure := g.send(ctx, c, t)
+	if failure == nil {
+		defer s.done()
+		return g.received(ctx, c, t, s, resp, began)
+	}
+	s.done()
+	return nil, failure, g.failed(c, t, s, failure)
+}
+
+func (s *server) done() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backlog.Done()
+}
+
+func (g *Gateway) send(ctx context.Context, c *call, t target) (*upstream.Response, *verdict.Error) {
+	header := c.header.Clone()
+	req := &upstream.Request{ID: c.ID, Address: t.backend.Address, Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host,
+		Header: header, Length: c.request.ContentLength, Fresh: c.ran > 0}
+	if c.body != nil {
+		req.Body = c.body.reader()
+	}
+	req.Left = func(h http.Header) *verdict.Error {
+		left := c.left(g.cfg.Clock.Now())
+		if left <= 0 {
+			return verdict.Unavailable(verdict.ReasonDeadline, "the time is over before the request was sent")
+		}
+		g.cfg.Dialect.Address(h, t.backend.Name, left)
+		return nil
+	}
+	c.tried[keyOf(t.backend)] = true
+	c.sends++
+	return g.client.Do(ctx, req)
+}
+
+// failed judges a failure without an answer.
+func (g *Gateway) failed(c *call, t target, s *server, e *verdict.Error) next {
+	now := g.cfg.Clock.Now()
+	g.cfg.Logger.Info("attempt failed", append(c.fields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
+		zap.String("verdict", e.Verdict.String()), zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail), zap.NamedError("cause", e.Cause))...)
+	if e.Reason == verdict.ReasonCancelled || e.Reason == verdict.ReasonDeadline {
+		if e.Verdict != verdict.NotRun {
+			c.ran++
+		}
+		return finish
+	}
+	s.mu.Lock()
+	s.backlog.Outcome(now, true)
+	s.mu.Unlock()
+	if bodyTooLarge(e.Cause) {
+		e.Status = http.StatusRequestEntityTooLarge
+		return finish
+	}
+	if e.Verdict == verdict.NotRun {
+		if e.Reason == verdict.ReasonConnect {
+			s.unreachable(now)
+		}
+		return wait
+	}
+	c.ran++
+	if !c.match.Idempotent {
+		return finish
+	}
+	return again
+}
+
+// received judges an answer. An answer that need not be final comes back with
+// what may follow.
+func (g *Gateway) received(ctx context.Context, c *call, t target, s *server, resp *upstream.Response, began time.Time) (*held, *verdict.Error, next) {
+	said := g.cfg.Dialect.ReadAnswer(resp.StatusCode, resp.Header)
+	now := g.cfg.Clock.Now()
+	s.mu.Lock()
+	if said.Load != nil {
+		s.backlog.Reported(now, *said.Load)
+	}
+	s.backlog.Outcome(now, !said.Misdirected && resp.StatusCode >= http.StatusInternalServerError)
+	s.mu.Unlock()
+	if said.NotRun {
+		resp.Body.Close()
+		return nil, g.notRun(c, t, resp.StatusCode, said), wait
+	}
+	c.ran++
+	answer, err := hold(resp)
+	if err != nil {
+		resp.Body.Close()
+		e := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Reason: verdict.ReasonConnectionLost,
+			Detail: "the answer broke off", Cause: err}
+		if ctx.Err() == context.DeadlineExceeded {
+			e.Status, e.Reason = http.StatusGatewayTimeout, verdict.ReasonDeadline
+		}
+		follow := finish
+		if c.match.Idempotent && ctx.Err() == nil {
+			follow = again
+		}
+		return nil, e, follow
+	}
+	if c.match.Idempotent && resp.StatusCode >= http.StatusInternalServerError {
+		return answer, nil, again
+	}
+	g.learn(c, t, now.Sub(began), said)
+	return answer, nil, finish
+}
+
+// learn takes in the time of an answered request.
+func (g *Gateway) learn(c *call, t target, took time.Duration, said Answer) {
+	work := took
+	if l := said.Load; l != nil && l.Waiting > 0 && l.Slots > 0 {
+		// Part of the time was spent in the server's queue.
+		work = time.Duration(float64(took) * float64(l.Slots) / float64(l.Slots+l.Waiting))
+	}
+	g.times(c.service).add(c.match.Name, work)
+	if c.keyed {
+		g.loads.add(t.backend, t.slice.Start, c.Hash, work)
+	}
+}
+
+// notRun is the failure of an attempt that the backend server did not run.
+func (g *Gateway) notRun(c *call, t target, status int, said Answer) *verdict.Error {
+	e := verdict.Unavailable(verdict.ReasonBackendRefused, "the backend server did not run the request: status "+strconv.Itoa(status))
+	if said.Misdirected {
+		e.Reason, e.Detail = verdict.ReasonMoved, "the backend server does not hold the key"
+	}
+	g.cfg.Logger.Info("attempt not run", append(c.fields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
+		zap.String("slice_owner", t.slice.Owner), zap.Int("status", status), zap.String("reason", string(e.Reason)),
+		zap.Uint64("revision", g.cfg.Tables().Revision()))...)
+	return e
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/backlog"
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// server is what this host knows of one process of a backend server.
+type server struct {
+	mu      sync.Mutex
+	backlog *backlog.Server
+	// down is until when the server is not tried, after connections failed.
+	down time.Time
+}
+
+func (g *Gateway) server(b *table.Backend) *server {
+	key := keyOf(b)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[key]
+	if s == nil {
+		s = &server{backlog: backlog.New(b.Slots)}
+		g.servers[key] = s
+	}
+	return s
+}
+
+func (s *server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backlog.InFlight() == 0
+}
+
+// downFor is how long a server that cannot be reached is left alone. Its keys
+// move when its lease ends; it is tried again in between, because the path to it
+// may have been broken for a moment only.
+const downFor = 400 * time.Millisecond
+
+func (s *server) unreachable(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = now.Add(downFor)
+}
+
+// isDown returns how long the server is still left alone.
+func (s *server) isDown(now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down.Sub(now), now.Before(s.down)
+}
+
+// serviceTimes are the usual times of the requests of one service, by route.
+type serviceTimes struct {
+	mu    sync.Mutex
+	means map[string]time.Duration
+}
+
+const (
+	// initialService is assumed before the first answer of a route.
+	initialService = 80 * time.Millisecond
+	serviceWeight  = 0.05
+)
+
+func (g *Gateway) times(service string) *serviceTimes {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.services[service]
+	if t == nil {
+		t = &serviceTimes{means: map[string]time.Duration{}}
+		g.services[service] = t
+	}
+	return t
+}
+
+func (t *serviceTimes) mean(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.means[route]; ok {
+		return m
+	}
+	return initialService
+}
+
+func (t *serviceTimes) add(route string, sample time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.means[route]
+	if !ok {
+		m = initialService
+	}
+	t.means[route] = m + time.Duration(serviceWeight*float64(sample-m))
+}
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -68,11 +68,39 @@
 	return released, nil
 }
 
-// Split cuts slices so that each hash is a slice of its own. The parts keep the
+// Grant completes moves to a server that were released by their old owners. A
+// slice that does not move there, or has another epoch, is left alone; when none
+// fits, the error is ErrStale.
+func (s *Slices) Grant(g *command.Granted, index uint64) (granted int, err error) {
+	if len(g.Starts) != len(g.Epochs) {
+		return 0, errors.WithType(errors.Errorf("service %s: grant with %d starts and %d epochs",
+			s.service, len(g.Starts), len(g.Epochs)), ErrInvalid)
+	}
+	for k, start := range g.Starts {
+		i, ok := s.find(start)
+		if !ok {
+			continue
+		}
+		e := &s.list[i]
+		if e.State != table.SliceReleasing || e.Next != g.Backend || e.Epoch != g.Epochs[k] {
+			continue
+		}
+		s.grant(e, g.Backend, index)
+		granted++
+	}
+	if granted == 0 {
+		return 0, errors.WithType(errors.Errorf("service %s: none of %d slices moves to backend server %s at these epochs",
+			s.service, len(g.Starts), g.Backend), ErrStale)
+	}
+	return granted, nil
+}
+
+// Split cuts slices so that each hash is a slice of its own, and so that a slice
+// begins at each cut. The parts keep the
 // owner, the epoch and the standby. Slices that are moving are left alone; when
 // nothing is cut, the error is ErrStale.
-func (s *Slices) Split(hashes []uint64) (cut int, err error) {
-	if len(s.list)+2*len(hashes) > MaxSlices {
+func (s *Slices) Split(hashes, cuts []uint64) (cut int, err error) {
+	if len(s.list)+2*len(hashes)+len(cuts) > MaxSlices {
 		return 0, errors.WithType(errors.Errorf("service %s: splitting %d hashes would exceed %d slices",
 			s.service, len(hashes), MaxSlices), ErrInvalid)
 	}
@@ -81,9 +109,14 @@
 			cut++
 		}
 	}
+	for _, start := range cuts {
+		if s.cutAt(start) {
+			cut++
+		}
+	}
 	if cut == 0 {
 		return 0, errors.WithType(errors.Errorf("service %s: none of %d hashes can be split: each is a slice already or its slice is moving",
-			s.service, len(hashes)), ErrStale)
+			s.service, len(hashes)+len(cuts)), ErrStale)
 	}
 	return cut, nil
 }
@@ -110,6 +143,16 @@
 	return true
 }
 
+// cutAt cuts the slice that holds start so that a slice begins there.
+func (s *Slices) cutAt(start uint64) bool {
+	i, ok := s.find(start)
+	if ok || s.list[i-1].State == table.SliceReleasing {
+		return false
+	}
+	s.insert(i-1, start)
+	return true
+}
+
 // insert adds a slice after slice i that begins at start and equals slice i otherwise.
 func (s *Slices) insert(i int, start uint64) {
 	part := s.list[i]
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -30,7 +30,7 @@
 		s.Reassign(three, 1)
 		before := slices.Clone(s.list)
 		hashes := rapid.SliceOfN(rapid.OneOf(rapid.Uint64(), rapid.SampledFrom([]uint64{0, 1, math.MaxUint64})), 1, 20).Draw(t, "hashes")
-		if _, err := s.Split(hashes); err != nil {
+		if _, err := s.Split(hashes, nil); err != nil {
 			t.Fatal(err)
 		}
 		for i, e := range s.list {
--- a/internal/replication/config.go
+++ b/internal/replication/config.go
@@ -104,6 +104,9 @@
 	// Match is the last entry known to be durable on the member; it is set on
 	// the leader only.
 	Match uint64
+	// Silent is the time since the member's last message, in whole ticks; it is set
+	// on the leader only.
+	Silent time.Duration
 }
 
 // Status describes a replica at one moment.
--- a/internal/replication/driver.go
+++ b/internal/replication/driver.go
@@ -245,6 +245,9 @@
 		member := MemberStatus{ID: m.ID, Host: m.ID.Host(), Voter: m.Voter}
 		if p := c.progress[m.ID]; p != nil && s.IsLeader {
 			member.Match = p.match
+			if m.ID != d.cfg.ID {
+				member.Silent = time.Duration(p.silent) * d.cfg.Tick
+			}
 		}
 		s.Members = append(s.Members, member)
 	}
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -14,12 +14,13 @@
 	"github.com/agatestep/agatestep/internal/cli"
 	"github.com/agatestep/agatestep/internal/daemoncli"
 	"github.com/agatestep/agatestep/internal/standin/standincli"
+	"github.com/agatestep/agatestep/platform"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"agatestep":         func() { os.Exit(cli.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) },
-		"agatestepd":        func() { os.Exit(daemoncli.Run(os.Args[1:])) },
+		"agatestepd":        func() { os.Exit(daemoncli.Run(os.Args[1:], platform.Adapter{})) },
 		"agatestep-standin": func() { os.Exit(standincli.Run(os.Args[1:])) },
 	})
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,7 @@
 	cfg    Config
 	leader *leaderHint
 
+	seeds atomic.Pointer[[]Replica]
 	table atomic.Pointer[table.Table]
 	lease atomic.Pointer[lease]
 	// renewing keeps renewals in sequence.
@@ -71,6 +73,7 @@
 // New returns a session that holds no lease yet.
 func New(cfg Config) *Session {
 	s := &Session{cfg: cfg, leader: newLeaderHint(cfg.Replicas), changed: make(chan struct{}, 1)}
+	s.seeds.Store(&cfg.Replicas)
 	s.table.Store(table.Empty())
 	s.lease.Store(&lease{})
 	return s
@@ -198,6 +201,27 @@
 		next.floor = max(next.floor, reply.Revision)
 	}
 	s.lease.Store(next)
+	s.learn(reply.Replicas)
+}
+
+// SetSeeds changes the replicas that are asked when no other is known.
+func (s *Session) SetSeeds(seeds []Replica) {
+	s.seeds.Store(&seeds)
+	s.leader.learn(seeds)
+}
+
+// learn adds the replicas that a leader named to the seeds.
+func (s *Session) learn(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	all := slices.Clone(*s.seeds.Load())
+	for _, a := range addresses {
+		if !slices.ContainsFunc(all, func(r Replica) bool { return r.Address == a }) {
+			all = append(all, Replica{Host: a, Address: a})
+		}
+	}
+	s.leader.learn(all)
 }
 
 // Close ends the session in an orderly way: the lease is given up first, so
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -97,8 +98,24 @@
 	return h.replicas[h.current].Address
 }
 
+// learn sets the replicas to ask: those given and the current one.
+func (h *leaderHint) learn(replicas []Replica) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	current := h.replicas[h.current]
+	at := slices.Index(replicas, current)
+	if at < 0 {
+		at, replicas = 0, append([]Replica{current}, replicas...)
+	}
+	h.replicas, h.current = replicas, at
+}
+
 // attempts allows each replica once and one hint on top.
-func (h *leaderHint) attempts() int { return len(h.replicas) + 1 }
+func (h *leaderHint) attempts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.replicas) + 1
+}
 
 // advance moves on from a replica that did not answer as leader, to the host
 // that it named as leader or to the next one. A replica that refuses but names
@@ -110,6 +127,11 @@
 		return // another caller moved on already
 	}
 	at := slices.IndexFunc(h.replicas, func(r Replica) bool { return r.Host == leaderHost })
+	if _, err := netip.ParseAddrPort(leaderHost); at < 0 && err == nil {
+		// Replicas that are found through seeds are named by their addresses.
+		h.replicas = append(slices.Clone(h.replicas), Replica{Host: leaderHost, Address: leaderHost})
+		at = len(h.replicas) - 1
+	}
 	if at < 0 {
 		at = (h.current + 1) % len(h.replicas)
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -72,6 +72,7 @@
 	if !ok {
 		return nil, d
 	}
+	s.Deployment.provision()
 	validate(s, d)
 	return s, d
 }
@@ -88,8 +89,9 @@
 		Limits: Limits{
 			HeaderBytes: 64 << 10, BodyBytes: 1 << 30, Connections: 10_000, InFlight: 5_000, QueuePerBackend: 64,
 		},
-		Shutdown: Shutdown{Delay: 2 * time.Second, Timeout: 30 * time.Second},
-		Log:      Log{Level: "info", Format: "json"},
+		Deployment: defaultDeployment(),
+		Shutdown:   Shutdown{Delay: 2 * time.Second, Timeout: 30 * time.Second},
+		Log:        Log{Level: "info", Format: "json"},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,9 @@
 	Listen Listen `yaml:"listen"`
 	// Control names the control group and its replicas. Required.
 	Control Control `yaml:"control"`
+	// Deployment is given where each host has one role and hosts find the control
+	// group through seeds. It replaces control.replicas.
+	Deployment Deployment `yaml:"deployment"`
 	// DataFolder is where a control replica keeps its log. A relative path
 	// counts from the folder of the settings file. Required on hosts that
 	// control.replicas lists.
@@ -52,6 +55,10 @@
 	Relay string `yaml:"relay"`
 	// Admin serves the administration API and metrics.
 	Admin string `yaml:"admin"`
+	// Readiness answers the load balancer's checks. For the role entry only.
+	Readiness string `yaml:"readiness"`
+	// Control serves backend servers and operators. For the role control only.
+	Control string `yaml:"control"`
 }
 
 // Control names the control group and its replicas.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -30,9 +30,13 @@
 	requireName(d, "host", s.Host)
 	requireName(d, "data_centre", s.DataCentre)
 	requireName(d, "region", s.Region)
-	validateListen(s, d)
-	validateControl(s, d)
-	validatePlacement(s, d)
+	if s.Deployment.Role != "" {
+		validateDeployment(s, d)
+	} else {
+		validateListen(s, d)
+		validateControl(s, d)
+		validatePlacement(s, d)
+	}
 	validateTiming(s.Timing, d)
 	validateLimits(s, d)
 	requireOneOf(d, "log.level", s.Log.Level, "debug", "info", "warn", "error")
--- a/internal/table/builder.go
+++ b/internal/table/builder.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/agatestep/agatestep/internal/items"
 )
 
 // Builder collects changes to a table and gives them as one Delta. A later
@@ -15,6 +17,7 @@
 	hosts    map[string]*Host        // nil means removed
 	drains   map[string]bool
 	slices   map[string]map[uint64]Slice
+	items    map[items.Key]items.Item
 }
 
 // NewBuilder returns a builder of a delta that builds on revision base.
@@ -26,6 +29,7 @@
 		hosts:    map[string]*Host{},
 		drains:   map[string]bool{},
 		slices:   map[string]map[uint64]Slice{},
+		items:    map[items.Key]items.Item{},
 	}
 }
 
@@ -59,6 +63,9 @@
 	m[s.Start] = s
 }
 
+// PutItem adds a new version of a configuration item.
+func (b *Builder) PutItem(i items.Item) { b.items[i.Key] = i.WithoutDocument() }
+
 // Add includes the changes of d, which builds on what the builder has so far.
 func (b *Builder) Add(d *Delta) {
 	for _, s := range d.Services {
@@ -79,6 +86,9 @@
 	for _, c := range d.Drains {
 		b.PutDrain(c.DataCentre, c.Out)
 	}
+	for _, i := range d.Items {
+		b.PutItem(i)
+	}
 	for i := range d.Slices {
 		for _, s := range d.Slices[i].Slices {
 			b.PutSlice(d.Slices[i].Service, s)
@@ -113,6 +123,9 @@
 	for _, dc := range sortedKeys(b.drains) {
 		d.Drains = append(d.Drains, DrainChange{DataCentre: dc, Out: b.drains[dc]})
 	}
+	for _, key := range slices.SortedFunc(maps.Keys(b.items), items.CompareKeys) {
+		d.Items = append(d.Items, b.items[key])
+	}
 	for _, name := range sortedKeys(b.slices) {
 		c := SliceChanges{Service: name}
 		for _, start := range sortedKeys(b.slices[name]) {
--- a/internal/table/codec.go
+++ b/internal/table/codec.go
@@ -6,11 +6,12 @@
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/agatestep/agatestep/internal/items"
 	"github.com/agatestep/agatestep/internal/service"
 )
 
 // formatVersion is the first value of every encoding. A reader refuses others.
-const formatVersion = 1
+const formatVersion = 2
 
 // minElement is the size in bytes of the smallest slice in the encoding. No list is
 // given room for more elements of this size than the rest of the input can hold,
@@ -32,6 +33,7 @@
 	writeList(w, d.Hosts, func(h *Host) { w.value(h) })
 	writeList(w, d.RemovedHosts, func(s *string) { w.value(s) })
 	writeList(w, d.Drains, func(c *DrainChange) { w.value(c) })
+	writeList(w, d.Items, func(i *items.Item) { w.value(i) })
 	writeList(w, d.Slices, w.slices)
 	return buf.Bytes(), errors.Annotate(w.err, "encoding table delta")
 }
@@ -50,6 +52,7 @@
 	d.Hosts = readList(r, func(h *Host) { r.value(h) })
 	d.RemovedHosts = readList(r, func(s *string) { r.value(s) })
 	d.Drains = readList(r, func(c *DrainChange) { r.value(c) })
+	d.Items = readList(r, func(i *items.Item) { r.value(i) })
 	d.Slices = readList(r, r.slices)
 	if r.err != nil {
 		return nil, errors.Annotatef(ErrInvalid, "decoding table delta: %v", r.err)
@@ -77,7 +80,7 @@
 
 // full returns the delta that leads from the empty table to t.
 func (t *Table) full() *Delta {
-	d := &Delta{Revision: t.revision, Hosts: t.hosts}
+	d := &Delta{Revision: t.revision, Hosts: t.hosts, Items: t.items.All()}
 	for _, s := range t.Services() {
 		name := s.File.Service
 		d.Services = append(d.Services, *s)
--- a/internal/table/delta.go
+++ b/internal/table/delta.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/juju/errors"
+
+	"github.com/agatestep/agatestep/internal/items"
 )
 
 // ErrRevision is returned for a delta that does not fit the table: it builds on
@@ -24,6 +26,7 @@
 	Hosts           []Host // added or replaced
 	RemovedHosts    []string
 	Drains          []DrainChange
+	Items           []items.Item
 	Slices          []SliceChanges
 }
 
@@ -49,7 +52,7 @@
 // Empty reports whether the delta changes nothing but the revision.
 func (d *Delta) Empty() bool {
 	return len(d.Services) == 0 && len(d.Backends) == 0 && len(d.RemovedBackends) == 0 &&
-		len(d.Hosts) == 0 && len(d.RemovedHosts) == 0 && len(d.Drains) == 0 && len(d.Slices) == 0
+		len(d.Hosts) == 0 && len(d.RemovedHosts) == 0 && len(d.Drains) == 0 && len(d.Slices) == 0 && len(d.Items) == 0
 }
 
 // SliceCount returns the number of slice changes.
@@ -80,6 +83,7 @@
 	}
 	a.putHosts(d)
 	a.putDrains(d.Drains)
+	a.out.items, _ = t.items.Apply(d.Items)
 	for i := range d.Slices {
 		if err := a.putSlices(&d.Slices[i]); err != nil {
 			return nil, err
@@ -162,7 +166,7 @@
 	for e := range changed {
 		e.members = nil
 		for _, b := range e.backends {
-			if !b.Lost && !b.Draining {
+			if !b.Lost && !b.Draining && !b.Leaving {
 				e.members = append(e.members, b)
 			}
 		}
--- a/internal/table/match.go
+++ b/internal/table/match.go
@@ -12,6 +12,9 @@
 	m := &matcher{services: make(map[*service.File]*Service, len(services))}
 	files := make([]*service.File, 0, len(services))
 	for _, s := range services {
+		if len(s.File.Match.Hosts)+len(s.File.Match.PathPrefixes) == 0 {
+			continue // reached by routes only
+		}
 		files = append(files, s.File)
 		m.services[s.File] = s
 	}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -37,6 +37,15 @@
 	Slots        int
 	Connections  int
 	ChecksOrders bool
+	// ByHeartbeat is set for a backend server that gets its keys in the answers to
+	// its heartbeats; it has no orders. Born is the wall-clock start of its process
+	// in Unix milliseconds.
+	ByHeartbeat bool
+	Born        int64
+	// Cold is set while the backend server says that it is warming up.
+	Cold bool
+	// Leaving is set once the backend server has announced its end.
+	Leaving bool
 	// Lost is set from the end of the lease until the next incarnation or
 	// announcement; Draining is set while an operator has taken the backend
 	// server or its data centre out.
--- a/internal/table/view.go
+++ b/internal/table/view.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/agatestep/agatestep/internal/items"
 )
 
 // Table is the routing state of the whole system at one revision. It is
@@ -13,6 +15,7 @@
 	entries  []*serviceEntry
 	hosts    []Host // sorted by name
 	drained  []string
+	items    *items.Set
 	matcher  *matcher
 }
 
@@ -27,9 +30,12 @@
 
 // Empty returns the table of revision 0, which knows nothing.
 func Empty() *Table {
-	return &Table{services: map[string]int{}, matcher: newMatcher(nil)}
+	return &Table{services: map[string]int{}, matcher: newMatcher(nil), items: items.NewSet()}
 }
 
+// Items returns the configuration items, without the operators' documents.
+func (t *Table) Items() *items.Set { return t.items }
+
 // Revision is the index of the last command that the table contains.
 func (t *Table) Revision() uint64 { return t.revision }
 
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,358 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// Config sets the timeouts of connections.
+type Config struct {
+	// IDHeader is the header in which a backend server repeats the request's id.
+	IDHeader string
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// UserTimeout is how long sent data may stay unacknowledged.
+	UserTimeout time.Duration
+	// ProbeIdle is the idle time after which a connection is probed for silence.
+	ProbeIdle time.Duration
+	// MaxIdle is how long an idle connection is kept.
+	MaxIdle time.Duration
+	Clock   clock.Clock
+}
+
+// Client sends requests to backend servers. It is safe for concurrent use.
+type Client struct {
+	cfg Config
+	// Opened and Reused count the connections that requests got.
+	Opened, Reused atomic.Int64
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// New returns a client without connections.
+func New(cfg Config) *Client { return &Client{cfg: cfg, pools: map[string]*pool{}} }
+
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = &pool{address: address}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Clean closes connections that have been idle for long.
+func (c *Client) Clean() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if p.closeIdle(c.cfg.Clock.Now(), c.cfg.MaxIdle) {
+			delete(c.pools, address)
+		}
+	}
+}
+
+// Request is one request to one backend server.
+type Request struct {
+	ID      string
+	Address string
+	Method  string
+	// URI is the request target as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	// Body is nil for a request without one. Length is its length, or -1 to send
+	// it in chunks.
+	Body   io.Reader
+	Length int64
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Left is called just before the request is written and sets headers that
+	// depend on the time left; it may be nil. An error keeps the request unsent.
+	Left func(http.Header) *verdict.Error
+}
+
+// Response is the answer of a backend server. Its body must be closed.
+type Response struct {
+	*http.Response
+	exchange *exchange
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	client *Client
+	conn   *conn
+	req    *Request
+	stop   func() bool // ends the watch of the context
+	// written is closed when the writer of the body is done; nil without a body.
+	written  chan struct{}
+	writeErr error
+	stray    bool // an answer to another request was passed over
+}
+
+// Do sends req once. A failure is a *verdict.Error. When ctx ends, the connection
+// is closed, which tells the backend server to stop.
+func (c *Client) Do(ctx context.Context, req *Request) (*Response, *verdict.Error) {
+	p := c.pool(req.Address)
+	cn, reused, err := c.obtain(ctx, p, req)
+	if err != nil {
+		return nil, connectFailure(ctx, err)
+	}
+	x := &exchange{client: c, conn: cn, req: req}
+	if req.Left != nil {
+		if refusal := req.Left(req.Header); refusal != nil {
+			cn.release(c.cfg.Clock.Now(), time.Until(cn.until))
+			return nil, refusal
+		}
+	}
+	x.stop = context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	started, err := x.write()
+	if err != nil {
+		x.abandon()
+		if !started {
+			return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable,
+				Reason: verdict.ReasonConnect, Detail: "the connection was closed before the request was written", Cause: err}
+		}
+		return nil, x.failure(ctx, reused, err)
+	}
+	resp, err := x.read()
+	if err != nil {
+		x.abandon()
+		return nil, x.failure(ctx, reused, err)
+	}
+	return x.deliver(resp), nil
+}
+
+func (c *Client) obtain(ctx context.Context, p *pool, req *Request) (cn *conn, reused bool, err error) {
+	if !req.Fresh {
+		if cn := p.take(c.cfg.Clock.Now(), c.cfg.MaxIdle); cn != nil {
+			c.Reused.Add(1)
+			return cn, true, nil
+		}
+	}
+	cn, err = c.dial(ctx, p)
+	if err == nil {
+		c.Opened.Add(1)
+	}
+	return cn, false, err
+}
+
+// write sends the head, and the body from a goroutine of its own: the answer may
+// come before the whole body is sent. started reports whether any byte was handed
+// to the connection.
+func (x *exchange) write() (started bool, err error) {
+	bw, req := x.conn.bw, x.req
+	fmt.Fprintf(bw, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.URI, req.Host)
+	switch {
+	case req.Body != nil && req.Length < 0:
+		fmt.Fprint(bw, "Transfer-Encoding: chunked\r\n")
+	case req.Body != nil || (req.Method != http.MethodGet && req.Method != http.MethodHead):
+		fmt.Fprintf(bw, "Content-Length: %d\r\n", max(req.Length, 0))
+	}
+	if err := req.Header.Write(bw); err != nil {
+		return false, err
+	}
+	fmt.Fprint(bw, "\r\n")
+	if err := bw.Flush(); err != nil {
+		// The head is larger than the buffer or the kernel refused the first write;
+		// a backend server runs nothing before it has read the whole head.
+		return false, err
+	}
+	if req.Body == nil {
+		return true, nil
+	}
+	x.written = make(chan struct{})
+	go func() {
+		defer close(x.written)
+		x.writeErr = x.writeBody()
+	}()
+	return true, nil
+}
+
+func (x *exchange) writeBody() error {
+	bw, req := x.conn.bw, x.req
+	if req.Length < 0 {
+		w := httputil.NewChunkedWriter(bw)
+		if err := copyBody(w, req.Body, -1); err != nil {
+			return err
+		}
+		if err := w.Close(); err != nil {
+			return err
+		}
+		if _, err := io.WriteString(bw, "\r\n"); err != nil {
+			return err
+		}
+		return bw.Flush()
+	}
+	if err := copyBody(bw, req.Body, req.Length); err != nil {
+		return err
+	}
+	return bw.Flush()
+}
+
+// copyBuffers serve the copying of bodies.
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
+
+func copyBody(w io.Writer, r io.Reader, length int64) error {
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	if length >= 0 {
+		r = io.LimitReader(r, length)
+	}
+	n, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r}, *buf)
+	if err == nil && length >= 0 && n < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// maxStray bounds the answers to other requests that are passed over.
+const maxStray = 3
+
+var errForeign = errors.New("the answer carries no or another request id")
+
+// read returns the answer to this request. Answers with another id, which a
+// faulty backend server sends again or late, are read and dropped.
+func (x *exchange) read() (*http.Response, error) {
+	for range maxStray + 1 {
+		resp, err := x.readOne()
+		if err != nil {
+			return nil, err
+		}
+		id := resp.Header.Get(x.client.cfg.IDHeader)
+		if id == x.req.ID {
+			return resp, nil
+		}
+		x.stray = true
+		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			_ = resp.Body.Close()
+			return nil, errForeign
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errForeign
+}
+
+func (x *exchange) readOne() (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
+func (x *exchange) deliver(resp *http.Response) *Response {
+	out := &Response{Response: resp, exchange: x}
+	resp.Body = &body{ReadCloser: resp.Body, response: out}
+	return out
+}
+
+// abandon closes the connection. A read of the request body may still be pending;
+// what it yields is not sent.
+func (x *exchange) abandon() {
+	x.stop()
+	x.conn.discard()
+}
+
+// body tells the exchange when the answer was read to its end.
+type body struct {
+	io.ReadCloser
+	response *Response
+	complete bool
+	closed   bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.complete = true
+	}
+	return n, err
+}
+
+// Close gives the connection back or closes it. It is kept only if the whole
+// request was sent, the whole answer was read and nothing follows it.
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	resp, x := b.response, b.response.exchange
+	sent := x.written == nil
+	if x.written != nil {
+		select {
+		case <-x.written:
+			sent = x.writeErr == nil
+		default:
+		}
+	}
+	keep := keepFor(resp.Response, x.client.cfg.MaxIdle)
+	if !b.complete || !sent || resp.Close || x.stray || keep <= 0 || x.conn.br.Buffered() > 0 || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		x.abandon()
+		return nil
+	}
+	if !x.stop() {
+		x.conn.discard()
+		return nil
+	}
+	x.conn.release(x.client.cfg.Clock.Now(), keep)
+	return nil
+}
+
+func connectFailure(ctx context.Context, err error) *verdict.Error {
+	e := &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable,
+		Reason: verdict.ReasonConnect, Detail: "no connection to the backend server", Cause: err}
+	return withContext(ctx, e)
+}
+
+// failure classifies an error after the request was written.
+func (x *exchange) failure(ctx context.Context, reused bool, err error) *verdict.Error {
+	e := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Cause: err,
+		Reason: verdict.ReasonConnectionLost, Detail: "the connection broke before the answer"}
+	if reused {
+		e.Detail = "a kept connection broke before the answer"
+	}
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errForeign):
+		e.Reason, e.Detail = verdict.ReasonForeignAnswer, err.Error()
+	case errors.As(err, &timeout) && timeout.Timeout():
+		e.Detail = "the backend server's host went silent"
+	}
+	return withContext(ctx, e)
+}
+
+// withContext names the end of the context as the cause.
+func withContext(ctx context.Context, e *verdict.Error) *verdict.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.Reason, e.Detail = verdict.ReasonDeadline, "the time is over"
+		if e.Verdict == verdict.MayHaveRun {
+			e.Status = http.StatusGatewayTimeout
+		}
+	case ctx.Err() != nil:
+		e.Reason, e.Detail = verdict.ReasonCancelled, "the caller went away"
+	}
+	return e
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Sizes of connection buffers. An entry host keeps some hundred connections, and
+// memory is dear on small hosts.
+const (
+	readBufferBytes  = 2 << 10
+	writeBufferBytes = 2 << 10
+)
+
+// conn is one connection to a backend server. One request uses it at a time.
+type conn struct {
+	net.Conn
+	pool *pool
+	br   *bufio.Reader
+	bw   *bufio.Writer
+	// until is when the backend server may close the connection while it is idle.
+	until time.Time
+	idle  time.Time // since when it is idle
+}
+
+// pool holds the idle connections to one address, the last used one at the end.
+type pool struct {
+	address string
+
+	mu   sync.Mutex
+	idle []*conn
+	open int
+	used time.Time
+}
+
+// take returns the idle connection that was used last, or nil. Connections that
+// are closed, have unread bytes, or are about to be closed are dropped.
+func (p *pool) take(now time.Time, maxIdle time.Duration) *conn {
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if now.Before(c.until) && now.Sub(c.idle) < maxIdle && c.quiet() {
+			return c
+		}
+		c.discard()
+	}
+}
+
+// quiet reports whether the connection is open and nothing waits to be read:
+// bytes that arrive while no request is on its way belong to none.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (c *conn) discard() {
+	_ = c.Conn.Close()
+	c.pool.mu.Lock()
+	c.pool.open--
+	c.pool.mu.Unlock()
+}
+
+// release keeps the connection for another request.
+func (c *conn) release(now time.Time, keep time.Duration) {
+	c.idle, c.until = now, now.Add(keep)
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.idle = append(c.pool.idle, c)
+	c.pool.used = now
+}
+
+// closeIdle closes the connections that are idle for longer than maxIdle and
+// reports whether the pool is unused.
+func (p *pool) closeIdle(now time.Time, maxIdle time.Duration) (unused bool) {
+	p.mu.Lock()
+	var old []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Before(c.until) && now.Sub(c.idle) < maxIdle {
+			kept = append(kept, c)
+		} else {
+			old = append(old, c)
+		}
+	}
+	p.idle = kept
+	unused = p.open == len(old) && now.Sub(p.used) > maxIdle
+	p.mu.Unlock()
+	for _, c := range old {
+		c.discard()
+	}
+	return unused
+}
+
+// keepAliveMargin is subtracted from the idle time that a backend server states,
+// for the time that the next request needs to arrive.
+const keepAliveMargin = 500 * time.Millisecond
+
+// keepFor returns how long a connection may be reused after an answer.
+func keepFor(resp *http.Response, most time.Duration) time.Duration {
+	for _, part := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
+			most = min(most, time.Duration(seconds)*time.Second-keepAliveMargin)
+		}
+	}
+	return most
+}
+
+// dial opens a connection. Data that stays unacknowledged for userTimeout ends
+// it, so that a silent path is noticed although the backend server may think for
+// as long as it likes.
+func (c *Client) dial(ctx context.Context, p *pool) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+	defer cancel()
+	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: c.cfg.ProbeIdle, Interval: time.Second, Count: 2}}
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	setUserTimeout(raw, c.cfg.UserTimeout)
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	return &conn{Conn: raw, pool: p, br: bufio.NewReaderSize(raw, readBufferBytes), bw: bufio.NewWriterSize(raw, writeBufferBytes)}, nil
+}
+
+// setUserTimeout is an optimisation of failure detection: a system without the
+// option still notices a silent path, later.
+func setUserTimeout(c net.Conn, d time.Duration) {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = control.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+}
--- /dev/null
+++ b/internal/wire/heartbeat.go
@@ -0,0 +1,101 @@
+package wire
+
+import "github.com/agatestep/agatestep/internal/items"
+
+// Heartbeat is what a backend server that gets its keys in the answers to its
+// heartbeats says of itself.
+type Heartbeat struct {
+	Service string `json:"service"`
+	Backend string `json:"backend"`
+	// Born is the wall-clock start of the process in Unix milliseconds.
+	Born int64 `json:"born"`
+	// Sequence rises with each heartbeat of a process, so that a late one is known.
+	Sequence   uint64 `json:"sequence"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	Slots      int    `json:"slots"`
+	Leaving    bool   `json:"leaving,omitempty"`
+	// ColdMs is how much longer the backend server is cold.
+	ColdMs int64 `json:"cold_ms,omitempty"`
+	// Holds are the ranges that it holds or still works on.
+	Holds []KeyRange `json:"holds,omitempty"`
+	// Released are the ranges that it gave up since its last acknowledged heartbeat.
+	Released []KeyRange `json:"released,omitempty"`
+}
+
+// KeyRange is a range of key hashes, both ends included.
+type KeyRange struct {
+	First uint64 `json:"first"`
+	Last  uint64 `json:"last"`
+	// Epoch is the fencing token of the grant; zero in a release.
+	Epoch uint64 `json:"epoch,omitempty"`
+	// Handover is the token of the owner that gave the range up. The next owner
+	// takes over with it what the other one had in memory.
+	Handover string `json:"handover,omitempty"`
+}
+
+// HeartbeatReply answers a Heartbeat or Deregister.
+type HeartbeatReply struct {
+	// Acked means that what the backend server said is recorded.
+	Acked bool `json:"acked"`
+	// Grant means that Holds is everything the backend server is to hold, for
+	// HoldMs from when it sent the heartbeat.
+	Grant  bool       `json:"grant,omitempty"`
+	Holds  []KeyRange `json:"holds,omitempty"`
+	HoldMs int64      `json:"hold_ms,omitempty"`
+	// Leader names the host that leads, when it is known.
+	Leader string `json:"leader,omitempty"`
+	Reason string `json:"reason,omitempty"`
+	// Refused means that a rule refuses the message, wherever it is sent.
+	Refused bool `json:"refused,omitempty"`
+}
+
+// Deregister says that a backend server leaves for good.
+type Deregister struct {
+	Backend string `json:"backend"`
+}
+
+// ColdPermit asks the dispatcher of a cold backend server for leave to send one
+// request to it.
+type ColdPermit struct {
+	Service string `json:"service"`
+	Backend string `json:"backend"`
+	Born    int64  `json:"born"`
+}
+
+// ColdPermitReply answers ColdPermit.
+type ColdPermitReply struct {
+	Granted bool `json:"granted"`
+	// RetryMs is when the next permit may be free.
+	RetryMs int64  `json:"retry_ms,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// ReadItems asks the leader for the configuration items in force.
+type ReadItems struct{}
+
+// ReadItemsReply holds the items with the operators' documents.
+type ReadItemsReply struct {
+	Items  []items.Item `json:"items"`
+	Leader string       `json:"leader,omitempty"`
+	Reason string       `json:"reason,omitempty"`
+	OK     bool         `json:"ok"`
+}
+
+// ReplicaHello is how a control replica makes itself known to the others, until
+// it is a voter.
+type ReplicaHello struct {
+	Replica string `json:"replica"`
+	// Empty means that the replica holds no log.
+	Empty bool `json:"empty"`
+}
+
+// ReplicaHelloReply tells what the called replica knows.
+type ReplicaHelloReply struct {
+	Replica string `json:"replica"`
+	Empty   bool   `json:"empty"`
+	// Leader is the replica id of the leader, if there is one.
+	Leader string `json:"leader,omitempty"`
+	// Members are the replica ids of the group.
+	Members []string `json:"members,omitempty"`
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -4,14 +4,19 @@
 
 // Methods of the jsonrpc2 protocol between daemons.
 const (
-	MethodReplicationStep = "replication.step" // notification, ReplicationStep
-	MethodSessionRenew    = "session.renew"    // SessionRenew -> SessionReply
-	MethodTableWatch      = "table.watch"      // TableWatch -> TableReply
-	MethodPropose         = "control.propose"  // Proposal -> ProposalReply
-	MethodOperate         = "control.operate"  // Proposal -> ProposalReply
-	MethodAnnounce        = "backend.announce" // Announcement -> AnnounceReply
-	MethodTimelineRead    = "timeline.read"    // TimelineRead -> TimelineReply
-	MethodReplace         = "control.replace"  // ReplaceReplica -> ReplaceReply
+	MethodReplicationStep = "replication.step"   // notification, ReplicationStep
+	MethodSessionRenew    = "session.renew"      // SessionRenew -> SessionReply
+	MethodTableWatch      = "table.watch"        // TableWatch -> TableReply
+	MethodPropose         = "control.propose"    // Proposal -> ProposalReply
+	MethodOperate         = "control.operate"    // Proposal -> ProposalReply
+	MethodAnnounce        = "backend.announce"   // Announcement -> AnnounceReply
+	MethodTimelineRead    = "timeline.read"      // TimelineRead -> TimelineReply
+	MethodReplace         = "control.replace"    // ReplaceReplica -> ReplaceReply
+	MethodHeartbeat       = "backend.heartbeat"  // Heartbeat -> HeartbeatReply
+	MethodDeregister      = "backend.deregister" // Deregister -> HeartbeatReply
+	MethodColdPermit      = "cold.permit"        // ColdPermit -> ColdPermitReply
+	MethodReadItems       = "items.read"         // ReadItems -> ReadItemsReply
+	MethodReplicaHello    = "replica.hello"      // ReplicaHello -> ReplicaHelloReply
 )
 
 // ReplicationStep carries one encoded message of the replicated log.
@@ -60,6 +65,9 @@
 	Closed  bool   `json:"closed,omitempty"` // answers a renewal with Closing
 	Leader  string `json:"leader,omitempty"` // host to renew with when not granted
 	Reason  string `json:"reason,omitempty"`
+	// Replicas are the peer addresses of the control replicas, where replicas are
+	// named by their addresses.
+	Replicas []string `json:"replicas,omitempty"`
 	// Revision is the revision of the leader's state.
 	Revision uint64 `json:"revision"`
 }
