--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -120,6 +120,9 @@
 	if cuts := DecideCuts(t, service, loads); len(cuts) > 0 {
 		return []command.Command{{Split: &command.Split{Service: service, Cuts: cuts}}}
 	}
+	// A slice of one hash would share its key with the next slice: servers that are
+	// leased by heartbeat hold whole keys, and keys may span many hashes.
+	loads.Keys = nil
 	due := DecideBalance(t, service, loads, l.cfg.MaxMoving)
 	var moves []command.SliceMove
 	out := due[:0]
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -133,10 +133,13 @@
 	// unreadyFor is how long the host serves after it reports that it is not ready:
 	// the load balancer asks once a second and believes the second miss.
 	unreadyFor = 2500 * time.Millisecond
+	// takeShare is the part of the time to stop in which new requests are taken. The
+	// rest is for their work.
+	takeShare = 0.5
 	// quietFor ends a stop early when no request came for as long.
 	quietFor = 500 * time.Millisecond
 	// stopMargin is left for the end of the process.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 600 * time.Millisecond
 )
 
 // shutdown reports that the host is not ready and serves on, because callers go on
@@ -149,6 +152,9 @@
 	end := began.Add(h.settings.Deployment.StopTime - stopMargin)
 	for hard.Err() == nil && h.clock.Now().Before(end) {
 		now := h.clock.Now()
+		if now.Sub(began) >= time.Duration(takeShare*float64(h.settings.Deployment.StopTime)) {
+			h.gateway.StopTaking()
+		}
 		if now.Sub(began) >= unreadyFor && h.gateway.InFlight() == 0 && h.gateway.Quiet(now) >= quietFor {
 			break
 		}
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -55,6 +55,7 @@
 		return err
 	}
 	ctx, hard := signalContexts()
+	go watchSettings(ctx, c.Settings, logger, p)
 	return p.Run(ctx, hard)
 }
 
@@ -62,6 +63,8 @@
 // once when hard ends.
 type runner interface {
 	Run(ctx, hard context.Context) error
+	// Reload takes over changed settings, as far as that needs no restart.
+	Reload(s *settings.Settings)
 }
 
 // newProcess returns the process for the role of the host.
--- /dev/null
+++ b/internal/daemoncli/reload.go
@@ -0,0 +1,59 @@
+package daemoncli
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/settings"
+)
+
+// settingsInterval is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsInterval = time.Second
+
+// watchSettings reloads the settings file on SIGHUP and whenever it has changed.
+// A file with mistakes leaves the settings as they are.
+func watchSettings(ctx context.Context, path string, logger *zap.Logger, p runner) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last, err := os.ReadFile(path)
+	if err != nil {
+		logger.Warn("settings file not read", zap.Error(err))
+	}
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			signalled = true
+		case <-ticker.C:
+		}
+		content, err := os.ReadFile(path)
+		switch {
+		case err != nil:
+			logger.Warn("settings file not read; the settings stay as they are", zap.Error(err))
+			continue
+		case bytes.Equal(content, last) && !signalled:
+			continue
+		}
+		changed := !bytes.Equal(content, last)
+		last = content
+		s, err := settings.Load(path)
+		if err != nil {
+			logger.Error("settings file has mistakes; the settings stay as they are", zap.Error(err))
+			continue
+		}
+		logger.Info("settings reloaded", zap.Bool("signalled", signalled), zap.Bool("changed", changed))
+		p.Reload(s)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	hosts    int
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	closing  atomic.Bool
 	lastSeen atomic.Int64 // Unix nanoseconds of the last request
 }
 
@@ -118,6 +119,10 @@
 // InFlight returns the requests that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// StopTaking makes the gateway refuse new requests, because they may not end before
+// the process does.
+func (g *Gateway) StopTaking() { g.closing.Store(true) }
+
 // Quiet reports how long ago the last request came.
 func (g *Gateway) Quiet(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, g.lastSeen.Load()))
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -24,6 +24,10 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if g.closing.Load() {
+		g.refuse(w, r, nil, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping"), minRetryAfter)
+		return
+	}
 	c, refusal := g.read(w, r, g.cfg.Tables(), now)
 	if refusal != nil {
 		g.refuse(w, r, c, refusal, 0)
