--- /dev/null
+++ b/internal/coldgate/gate_test.go
@@ -0,0 +1,52 @@
+package coldgate
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against more permits than a cold server bears within any second, whatever
+// the pattern of the requests.
+func TestPermitsWithinAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := Rate{PerSecond: rapid.Float64Range(0.5, 50).Draw(t, "rate"), Burst: rapid.Float64Range(0, 10).Draw(t, "burst")}
+		key, now, g := Key{Backend: "b"}, time.Unix(1000, 0), New()
+		var given []time.Time
+		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 300), 1, 200).Draw(t, "gaps") {
+			now = now.Add(time.Duration(ms) * time.Millisecond)
+			if ok, _ := g.Take(now, key, rate); ok {
+				given = append(given, now)
+			}
+		}
+		most := rate.PerSecond + max(rate.Burst, 1)
+		for i := range given {
+			n := 0
+			for _, at := range given[i:] {
+				if at.Sub(given[i]) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > most+1e-6 {
+				t.Fatalf("%d permits within a second, at most %.1f are allowed", n, most)
+			}
+		}
+	})
+}
+
+// Guards against a new dispatcher that gives a full burst after the one before gave
+// one, and against waits that end before a permit is free.
+func TestStartsAlmostEmptyAndTellsWhenToReturn(t *testing.T) {
+	g, key, rate, now := New(), Key{Backend: "b"}, Rate{PerSecond: 10, Burst: 5}, time.Unix(1000, 0)
+	if ok, _ := g.Take(now, key, rate); !ok {
+		t.Fatal("the first permit was refused")
+	}
+	ok, retry := g.Take(now, key, rate)
+	if ok || retry != 100*time.Millisecond {
+		t.Fatalf("got %v, %v", ok, retry)
+	}
+	if ok, _ := g.Take(now.Add(retry), key, rate); !ok {
+		t.Fatal("no permit after the stated wait")
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -99,12 +99,9 @@
 }
 
 func copyHeader(to, from http.Header) {
-	for name, values := range from {
+	for name, values := range forwarded(from) {
 		to[name] = values
 	}
-	for _, name := range connectionHeaders {
-		to.Del(name)
-	}
 	if len(to["Content-Type"]) == 0 {
 		to["Content-Type"] = nil // keeps net/http from guessing one
 	}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,249 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// backend serves each connection by a script that reads requests and writes bytes.
+func backend(t *testing.T, serve func(n int, r *bufio.Reader, c net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(n, bufio.NewReader(c), c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newClient() *Client {
+	return New(Config{IDHeader: "Id", DialTimeout: time.Second, UserTimeout: time.Second, ProbeIdle: time.Minute, MaxIdle: time.Minute, Clock: clock.Real{}})
+}
+
+func request(address, id string) *Request {
+	return &Request{ID: id, Address: address, Method: "GET", URI: "/x", Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+func readRequest(r *bufio.Reader) (*http.Request, error) {
+	req, err := http.ReadRequest(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	return req, err
+}
+
+func answer(c io.Writer, id, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func get(t *testing.T, c *Client, req *Request) (string, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, failure := c.Do(ctx, req)
+	if failure != nil {
+		return "", failure
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	is.New(t).NoErr(err)
+	return string(data), nil
+}
+
+// Guards against an answer to another request that reaches a caller: one that is
+// repeated or late stands where the next answer is expected.
+func TestAnswersOfOtherRequestsArePassedOver(t *testing.T) {
+	is := is.New(t)
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, "stray", "another caller's")
+			answer(c, req.Header.Get("Id"), "own "+req.Header.Get("Id"))
+		}
+	})
+	client := newClient()
+	for _, id := range []string{"a", "b"} {
+		got, failure := get(t, client, request(address, id))
+		is.True(failure == nil)
+		is.Equal(got, "own "+id)
+	}
+	is.Equal(client.Opened.Load(), int64(2)) // a connection with a stray answer is not kept
+}
+
+// Guards against the reuse of a connection on which bytes wait that belong to no
+// request, and of one that the server has closed.
+func TestKeptConnectionsAreLookedAt(t *testing.T) {
+	for name, after := range map[string]func(net.Conn){
+		"extra bytes": func(c net.Conn) { answer(c, "b", "of nobody") },
+		"closed":      func(c net.Conn) { _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			acted := make(chan struct{})
+			address := backend(t, func(n int, r *bufio.Reader, c net.Conn) {
+				req, err := readRequest(r)
+				if err != nil {
+					return
+				}
+				answer(c, req.Header.Get("Id"), fmt.Sprint("from connection ", n))
+				if n == 0 {
+					after(c)
+					close(acted)
+					_, _ = r.ReadByte()
+				}
+			})
+			client := newClient()
+			_, failure := get(t, client, request(address, "a"))
+			is.True(failure == nil)
+			<-acted
+			// What the server did is on its way through the loopback; the look is repeated
+			// until it arrives.
+			p := client.pool(address)
+			for c := p.take(time.Now(), time.Minute); c != nil; c = p.take(time.Now(), time.Minute) {
+				c.release(time.Now(), time.Minute)
+			}
+			got, failure := get(t, client, request(address, "b"))
+			is.True(failure == nil)
+			is.Equal(got, "from connection 1")
+		})
+	}
+}
+
+// Guards against a wrong verdict: a request that was written may have run, one that
+// was not has not.
+func TestFailuresSayWhatMayHaveRun(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(closed.Close())
+	broken := backend(t, func(_ int, r *bufio.Reader, c net.Conn) { _, _ = readRequest(r) })
+	garbled := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, "no answer at all\r\n\r\n")
+	})
+	foreign := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		_, _ = readRequest(r)
+		for range maxStray + 1 {
+			answer(c, "stray", "x")
+		}
+	})
+	for name, c := range map[string]struct {
+		address string
+		want    verdict.Verdict
+		reason  verdict.Reason
+	}{
+		"no listener":      {closed.Addr().String(), verdict.NotRun, verdict.ReasonConnect},
+		"closed unserved":  {broken, verdict.MayHaveRun, verdict.ReasonConnectionLost},
+		"bytes, no answer": {garbled, verdict.MayHaveRun, verdict.ReasonConnectionLost},
+		"foreign answers":  {foreign, verdict.MayHaveRun, verdict.ReasonForeignAnswer},
+	} {
+		_, failure := get(t, newClient(), request(c.address, "a"))
+		if failure == nil || failure.Verdict != c.want || failure.Reason != c.reason {
+			t.Errorf("%s: %v", name, failure)
+		}
+	}
+}
+
+// endless is a body that never ends and is never ready.
+type endless struct{ stop chan struct{} }
+
+func (e endless) Read([]byte) (int, error) {
+	<-e.stop
+	return 0, errors.New("stopped")
+}
+
+// Guards against a server that answered early and reads the next request where the
+// rest of the body is due.
+func TestEarlyAnswerClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	body := endless{make(chan struct{})}
+	defer close(body.stop)
+	address := backend(t, func(n int, r *bufio.Reader, c net.Conn) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(c, req.Header.Get("Id"), fmt.Sprint("from connection ", n))
+		_, _ = r.ReadByte()
+	})
+	client := newClient()
+	early := request(address, "a")
+	early.Method, early.Body, early.Length = "POST", body, 1000
+	_, failure := get(t, client, early)
+	is.True(failure == nil)
+	got, failure := get(t, client, request(address, "b"))
+	is.True(failure == nil)
+	is.Equal(got, "from connection 1")
+}
+
+// Guards against bodies that change on their way, with a length and in chunks.
+func TestBodiesArriveUnchanged(t *testing.T) {
+	is := is.New(t)
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			data, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			answer(c, req.Header.Get("Id"), fmt.Sprint(req.ContentLength, " ", string(data)))
+		}
+	})
+	client := newClient()
+	text := strings.Repeat("wheelset ", 10_000)
+	for _, length := range []int64{int64(len(text)), -1} {
+		req := request(address, "a")
+		req.Method, req.Body, req.Length = "POST", strings.NewReader(text), length
+		got, failure := get(t, client, req)
+		is.True(failure == nil)
+		is.Equal(got, fmt.Sprint(length, " ", text))
+	}
+	is.Equal(client.Opened.Load(), int64(1))
+}
+
+// Guards against a backend server that works on for a caller that is gone.
+func TestCancellationClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	read, gone := make(chan struct{}), make(chan struct{})
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		_, _ = readRequest(r)
+		close(read)
+		_, _ = r.ReadByte()
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-read
+		cancel()
+	}()
+	_, failure := newClient().Do(ctx, request(address, "a"))
+	is.Equal(failure.Reason, verdict.ReasonCancelled)
+	is.Equal(failure.Verdict, verdict.MayHaveRun)
+	<-gone
+}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -42,7 +42,7 @@
 	// HoldMs from when it sent the heartbeat.
 	Grant  bool       `json:"grant,omitempty"`
 	Holds  []KeyRange `json:"holds,omitempty"`
-	HoldMs int64      `json:"hold_ms,omitempty"`
+	HoldMs int64      `json:"lease_ms,omitempty"`
 	// Leader names the host that leads, when it is known.
 	Leader string `json:"leader,omitempty"`
 	Reason string `json:"reason,omitempty"`
