--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -85,10 +85,7 @@
 			return time.Time{}, false
 		}
 		heard, ok := l.keeper.Heard(b)
-		for ok && heard.Before(now) {
-			heard = heard.Add(l.cfg.HeartbeatInterval)
-		}
-		return heard, ok
+		return nextHeartbeat(heard, now, l.cfg.HeartbeatInterval), ok
 	})
 	l.mu.Unlock()
 	if len(moves) == 0 {
@@ -103,6 +100,15 @@
 		zap.String("result", string(res.Code)), zap.Uint64("revision", res.Revision))
 }
 
+// nextHeartbeat returns when a heartbeat is expected that is sent at an interval.
+func nextHeartbeat(heard, now time.Time, interval time.Duration) time.Time {
+	if !heard.Before(now) {
+		return heard
+	}
+	missed := now.Sub(heard) / interval
+	return heard.Add((missed + 1) * interval)
+}
+
 // settleDelay is how long the leader waits after a service without owners gets
 // its first backend server, so that the others are there when keys are granted.
 const settleDelay = time.Second
--- a/internal/keylease/keeper.go
+++ b/internal/keylease/keeper.go
@@ -234,7 +234,7 @@
 // Heard returns when the newest heartbeat of a process arrived.
 func (k *Keeper) Heard(b *table.Backend) (time.Time, bool) {
 	h := k.holders[table.BackendRef{Service: b.Service, Name: b.Name}]
-	if h == nil || h.born != b.Born {
+	if h == nil || h.born != b.Born || h.heard.IsZero() {
 		return time.Time{}, false
 	}
 	return h.heard, true
