--- a/internal/keylease/keeper.go
+++ b/internal/keylease/keeper.go
@@ -28,8 +28,11 @@
 	// since is when this leader was elected: leases of earlier leaders began before.
 	since   time.Time
 	holders map[table.BackendRef]*holder
-	// freed are slices on the move that their old owner surely gave up.
-	freed map[sliceKey]freed
+	// freed are slices on the move that their old owner surely gave up, with the
+	// epoch that it had. tokens are for owners that were granted slices since, with
+	// the epoch that they have.
+	freed  map[sliceKey]freed
+	tokens map[sliceKey]freed
 }
 
 type sliceKey struct {
@@ -64,7 +67,7 @@
 
 // NewKeeper returns the memory of a leader that was elected at since.
 func NewKeeper(cfg Config, since time.Time) *Keeper {
-	return &Keeper{cfg: cfg, since: since, holders: map[table.BackendRef]*holder{}, freed: map[sliceKey]freed{}}
+	return &Keeper{cfg: cfg, since: since, holders: map[table.BackendRef]*holder{}, freed: map[sliceKey]freed{}, tokens: map[sliceKey]freed{}}
 }
 
 // Observe takes in a heartbeat. It reports whether it is the newest of its
@@ -146,7 +149,8 @@
 	for _, start := range starts {
 		key := sliceKey{service, start}
 		if f, ok := k.freed[key]; ok {
-			k.freed[key] = freed{epoch: epoch, handover: f.handover}
+			delete(k.freed, key)
+			k.tokens[key] = freed{epoch: epoch, handover: f.handover}
 		}
 	}
 }
@@ -177,13 +181,13 @@
 // token returns the token of a slice until its owner lists the slice.
 func (k *Keeper) token(hb *wire.Heartbeat, s table.Slice) string {
 	key := sliceKey{hb.Service, s.Start}
-	f, ok := k.freed[key]
+	f, ok := k.tokens[key]
 	if !ok || f.epoch != s.Epoch {
 		return ""
 	}
 	for _, r := range hb.Holds {
 		if r.First <= s.Start && s.Last <= r.Last && r.Epoch == s.Epoch {
-			delete(k.freed, key)
+			delete(k.tokens, key)
 			return ""
 		}
 	}
@@ -247,10 +251,12 @@
 			delete(k.holders, ref)
 		}
 	}
-	for key, f := range k.freed {
-		s, ok := t.Lookup(key.service, key.start)
-		if !ok || s.Start != key.start || s.Epoch != f.epoch {
-			delete(k.freed, key)
+	for _, remembered := range []map[sliceKey]freed{k.freed, k.tokens} {
+		for key, f := range remembered {
+			s, ok := t.Lookup(key.service, key.start)
+			if !ok || s.Start != key.start || s.Epoch != f.epoch {
+				delete(remembered, key)
+			}
 		}
 	}
 }
--- a/internal/keylease/keeper_test.go
+++ b/internal/keylease/keeper_test.go
@@ -93,6 +93,23 @@
 	is.Equal(rows, []wire.KeyRange{{First: 0, Last: 9, Epoch: 12}})
 }
 
+// Guards against a key that passes on at once because it was given up before, by
+// the owner before the present one, whose requests still run.
+func TestGrantedKeyIsNotFreedAgain(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper()
+	s := moving(0, 9, 7, "b2")
+	k.Observe(start, beat(1), []table.Slice{s})
+	k.Grant(start, beat(1), []table.Slice{s})
+	k.Observe(start, beat(2), []table.Slice{s})
+	starts, _ := k.Freed("desk", "b2", all(s))
+	is.Equal(len(starts), 1)
+	k.Granted("desk", starts, 12)
+	s = table.Slice{Start: 0, Last: 9, Owner: "b2", Next: "b3", Epoch: 12, State: table.SliceReleasing}
+	starts, _ = k.Freed("desk", "b3", all(s))
+	is.Equal(len(starts), 0)
+}
+
 // Guards against a lease that outlasts the decision that its holder is lost, and
 // against a loss that is decided while a lease may last.
 func TestLostWhenEveryLeaseIsOver(t *testing.T) {
