--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/ownership"
 	"github.com/agatestep/agatestep/internal/placement"
@@ -21,6 +23,8 @@
 	// Pace is how fast backend servers work relative to the median one; one that is
 	// missing counts as the median.
 	Pace map[string]float64
+	// Service is the service time of the median server; zero while unknown.
+	Service time.Duration
 }
 
 // View is all that the decision about sessions depends on.
@@ -92,17 +96,6 @@
 	return []command.Command{{Move: cmd}}
 }
 
-// paceUnits is the weight of one slot at the median pace, so that weights, which
-// are whole numbers, tell paces apart.
-const paceUnits = 20
-
-func weight(slots int, pace float64) int {
-	if pace <= 0 {
-		pace = 1
-	}
-	return max(1, int(float64(slots*paceUnits)*pace+0.5))
-}
-
 func incomplete(t *table.Table, service string, servers []placement.Server) bool {
 	c := ownership.NewCoverage(servers)
 	for s := range t.AllSlices(service) {
@@ -117,7 +110,10 @@
 // them. A slice on the move counts for its next owner.
 func placementView(t *table.Table, service string, loads Loads) (servers []placement.Server, list []placement.Slice, moving int) {
 	for _, b := range t.Members(service) {
-		servers = append(servers, placement.Server{Name: b.Name, DataCentre: b.DataCentre, Slots: weight(b.Slots, loads.Pace[b.Name])})
+		servers = append(servers, placement.Server{Name: b.Name, DataCentre: b.DataCentre, Slots: b.Slots})
+	}
+	if loads.Pace != nil {
+		servers = weights(servers, loads.Pace, loads.demand())
 	}
 	for s := range t.AllSlices(service) {
 		p := placement.Slice{Owner: s.Owner, Standby: s.Standby, Load: loads.Slices[s.Start]}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -79,6 +79,9 @@
 	// Replicas returns the peer addresses of the control replicas for hosts that
 	// find them through seeds; it may be nil.
 	Replicas func() []string
+	// Gather is how long an answer to a watch waits for further changes, per entry
+	// host; zero answers at once.
+	Gather time.Duration
 	// BalanceInterval is the interval of decisions to split and move slices.
 	BalanceInterval time.Duration
 	// MaxMoving bounds the slices of one service that move at the same time.
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -32,6 +32,8 @@
 	keys   map[uint64]*rate // by hash
 	// servers are the service times by backend server.
 	servers map[string]*serverLoad
+	// medianMs is the median service time of the servers; zero while unknown.
+	medianMs float64
 }
 
 type rate struct {
@@ -184,6 +186,7 @@
 	v := Loads{}
 	if s := l.services[service]; s != nil {
 		v.Slices, v.Keys, v.Slow, v.Pace = rates(s.slices), rates(s.keys), s.slow(), s.pace()
+		v.Service = time.Duration(s.medianMs * float64(time.Millisecond))
 	}
 	return v
 }
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -139,6 +139,25 @@
 	return out
 }
 
+// maxGather bounds the wait for further changes.
+const maxGather = 150 * time.Millisecond
+
+// gather waits for further changes before a watch is answered.
+func (l *Leader) gather(ctx context.Context) error {
+	wait := min(time.Duration(len(l.cfg.State.Table().Hosts()))*l.cfg.Gather, maxGather)
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Watch returns what changed since the revision of a host's table, and waits for
 // a change for at most the poll time when there is none.
 func (l *Leader) Watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
@@ -157,6 +176,9 @@
 		}
 		select {
 		case <-changed:
+			if err := l.gather(ctx); err != nil {
+				return wire.TableReply{Revision: revision, Leader: st.LeaderHost, Reason: err.Error()}
+			}
 		case <-timeout.C:
 			return wire.TableReply{Revision: revision, Leader: st.LeaderHost}
 		case <-ctx.Done():
--- a/internal/control/stragglers.go
+++ b/internal/control/stragglers.go
@@ -34,6 +34,7 @@
 	busyMs, count uint64  // since the last fold
 	meanMs        float64 // smoothed time per request
 	paceMs        float64 // the same, smoothed for longer
+	pace          float64 // the pace by which keys are placed
 	seen          time.Time
 	slowSince     time.Time // zero while it is not slow
 	lasting       bool
@@ -104,9 +105,11 @@
 }
 
 // Bounds of a pace: a measurement of few requests must not empty or flood a server.
+// A pace is kept until it is off by paceStep, so that keys do not move with noise.
 const (
-	minPace = 0.3
-	maxPace = 2.0
+	minPace  = 0.3
+	maxPace  = 2.0
+	paceStep = 1.25
 )
 
 // pace returns how fast servers work relative to the median one.
@@ -124,9 +127,15 @@
 	median := means[(len(means)-1)/2]
 	out := map[string]float64{}
 	for name, server := range s.servers {
-		if server.paceMs > 0 {
-			out[name] = min(max(median/server.paceMs, minPace), maxPace)
+		if server.paceMs <= 0 {
+			continue
+		}
+		measured := min(max(median/server.paceMs, minPace), maxPace)
+		if ratio := measured / max(server.pace, minPace/2); ratio > paceStep || ratio < 1/paceStep {
+			server.pace = measured
 		}
+		out[name] = server.pace
 	}
+	s.medianMs = median
 	return out
 }
--- /dev/null
+++ b/internal/control/weights.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/agatestep/agatestep/internal/placement"
+)
+
+const (
+	// easyUse is the share of a server's capacity up to which requests hardly wait.
+	// It leaves room for twice the load, which comes sooner than keys can move.
+	easyUse = 0.45
+	// leastUse is the share of its capacity that every server gets, so that its pace
+	// stays known and it can take over more.
+	leastUse = 0.08
+)
+
+// paceUnits is the weight of one busy slot, so that weights, which are whole
+// numbers, tell small differences apart.
+const paceUnits = 100
+
+// demand is the number of slots of median pace that the load keeps busy.
+func (l Loads) demand() float64 {
+	total := 0.0
+	for _, rate := range l.Slices {
+		total += rate
+	}
+	return total * l.Service.Seconds()
+}
+
+// weights returns the weights of servers by which keys are placed: the load that
+// each is to carry. While there is room, fast servers get their easy load first
+// and slow ones what is left; otherwise all get load by their capacity. demand is
+// the number of slots of the median pace that the load keeps busy.
+func weights(servers []placement.Server, pace map[string]float64, demand float64) []placement.Server {
+	capacity := map[string]float64{}
+	total := 0.0
+	for _, s := range servers {
+		p := pace[s.Name]
+		if p <= 0 {
+			p = 1
+		}
+		capacity[s.Name] = float64(s.Slots) * p
+		total += capacity[s.Name]
+	}
+	use := map[string]float64{}
+	level := easyUse
+	if demand > easyUse*total {
+		level = demand / max(total, math.SmallestNonzeroFloat64)
+	}
+	left := demand
+	for name, c := range capacity {
+		use[name] = min(leastUse, level) * c
+		left -= use[name]
+	}
+	for _, name := range byPace(servers, pace) {
+		more := min(max(left, 0), level*capacity[name]-use[name])
+		use[name] += more
+		left -= more
+	}
+	out := slices.Clone(servers)
+	for i := range out {
+		out[i].Slots = max(1, int(use[out[i].Name]*paceUnits+0.5))
+	}
+	return out
+}
+
+// byPace returns the names of servers, the fastest first.
+func byPace(servers []placement.Server, pace map[string]float64) []string {
+	names := map[string]float64{}
+	for _, s := range servers {
+		names[s.Name] = pace[s.Name]
+	}
+	return slices.SortedFunc(maps.Keys(names), func(a, b string) int {
+		return cmp.Or(cmp.Compare(names[b], names[a]), cmp.Compare(a, b))
+	})
+}
--- /dev/null
+++ b/internal/control/weights_test.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/placement"
+)
+
+func fourServers() []placement.Server {
+	var out []placement.Server
+	for _, name := range []string{"fast", "mid1", "mid2", "slow"} {
+		out = append(out, placement.Server{Name: name, Slots: 4})
+	}
+	return out
+}
+
+var paces = map[string]float64{"fast": 1.5, "mid1": 1, "mid2": 1, "slow": 0.5}
+
+func placed(demand float64) map[string]int {
+	out := map[string]int{}
+	for _, s := range weights(fourServers(), paces, demand) {
+		out[s.Name] = s.Slots
+	}
+	return out
+}
+
+// Calm: guards against requests that take twice as long on a slow server while a
+// fast one has free slots.
+func TestCalmLoadGoesToFastServers(t *testing.T) {
+	is := is.New(t)
+	got := placed(4) // a quarter of 16 slots
+	is.Equal(got["fast"], 270) // its easy load: 0.45 x 6 slots
+	is.Equal(got["mid2"], 32)  // the least
+	is.Equal(got["slow"], 16)
+	is.Equal(got["mid1"], 82) // what is left
+}
+
+// Burst: guards against a fast server that is overloaded while slow ones have room.
+func TestHeavyLoadGoesByCapacity(t *testing.T) {
+	is := is.New(t)
+	got := placed(12) // three quarters
+	is.Equal(got, map[string]int{"fast": 450, "mid1": 300, "mid2": 300, "slow": 150})
+	got = placed(100)
+	is.Equal(got["fast"], 3*got["slow"])
+}
+
+// Guards against weights of zero, and against servers without a measured pace that
+// get nothing.
+func TestUnknownPacesAndNoLoad(t *testing.T) {
+	is := is.New(t)
+	for _, demand := range []float64{0, 4} {
+		for _, s := range weights(fourServers(), map[string]float64{}, demand) {
+			is.True(s.Slots >= 1)
+		}
+	}
+}
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -145,11 +145,15 @@
 	h.leader = control.NewLeader(control.LeaderConfig{
 		State: h.state, Proposer: h.replica, Clock: h.clock, Logger: h.logger,
 		SessionTTL: cfg.Timing.SessionTTL, MaxClockDrift: cfg.Timing.MaxClockDrift, Poll: cfg.Timing.WatchPoll,
-		BackendHold: cfg.Deployment.Hold, HeartbeatInterval: cfg.Deployment.Heartbeat, Replicas: h.memberAddresses,
+		BackendHold: cfg.Deployment.Hold, HeartbeatInterval: cfg.Deployment.Heartbeat, Replicas: h.memberAddresses, Gather: gatherPerHost,
 	})
 	return nil
 }
 
+// gatherPerHost is how long the leader gathers changes of the table, per entry
+// host: each change costs it an answer to every host.
+const gatherPerHost = 1500 * time.Microsecond
+
 // resolveAddress returns the peer address of a replica, which is its host name.
 func resolveAddress(host string) (string, bool) {
 	_, _, err := net.SplitHostPort(host)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,7 @@
 		RenewInterval: cfg.Timing.RenewInterval,
 		CallTimeout:   cfg.Timing.RenewInterval + cfg.Timing.RenewInterval/2,
 		WatchPoll:     cfg.Timing.WatchPoll,
+		AckChanges:    true,
 		Loads:         func() []wireLoads { return d.dispatcher.Loads() },
 		OnTable:       d.tableChanged,
 		Record:        d.record,
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -42,6 +42,9 @@
 	WatchPoll   time.Duration
 	// Loads returns the load to report with a renewal; it may be nil.
 	Loads func() []wire.SliceLoads
+	// AckChanges renews the session as soon as a new revision was applied, so that
+	// operators who wait for it to be in force learn at once.
+	AckChanges bool
 	// OnTable is called after each change of the routing table; it may be nil.
 	OnTable func(*table.Table)
 	Record  func(kind, subject, detail string)
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -60,9 +60,11 @@
 	if s.cfg.OnTable != nil {
 		s.cfg.OnTable(next)
 	}
-	select {
-	case s.changed <- struct{}{}:
-	default:
+	if s.cfg.AckChanges {
+		select {
+		case s.changed <- struct{}{}:
+		default:
+		}
 	}
 	return nil
 }
