--- a/internal/backlog/server.go
+++ b/internal/backlog/server.go
@@ -25,7 +25,7 @@
 	// minRoom and roomPerSlot bound the requests that may wait at a backend server:
 	// one that cannot queue a request may never answer it.
 	minRoom     = 4
-	roomPerSlot = 1
+	roomPerSlot = 2
 )
 
 // Server is the estimate for one backend server. It is not safe for concurrent use.
--- a/internal/control/cuts.go
+++ b/internal/control/cuts.go
@@ -12,18 +12,38 @@
 	// which it is cut: a server at the balance target must be able to give up a part
 	// of its load that is smaller than the excess.
 	cutShare = 0.2
-	// maxCuts bounds the cuts of one decision, and maxServiceSlices the slices that
-	// cuts may lead to, so that answers to heartbeats stay small.
-	maxCuts          = 32
-	maxServiceSlices = 2 * declaredSlices
+	// maxCuts bounds the cuts of one decision.
+	maxCuts = 32
+	// slicesPerServer is the number of slices for each backend server up to which a
+	// service is cut. Twice as many, after the loss of half of the servers, still fit
+	// into the answers to heartbeats.
+	slicesPerServer = 70
 )
 
+// DecideFirstCuts returns cuts that halve all slices of a service that nobody owns
+// yet, while it has few for its servers: small slices spread busy ranges before
+// any load is measured.
+func DecideFirstCuts(t *table.Table, service string, span uint64) []uint64 {
+	if 2*t.SliceCount(service) > slicesPerServer*len(t.Members(service)) {
+		return nil
+	}
+	var cuts []uint64
+	for s := range t.AllSlices(service) {
+		half := (s.Last-s.Start)/2 + 1
+		if s.State != table.SliceUnowned || half < max(span, 1) {
+			return nil
+		}
+		cuts = append(cuts, s.Start+half)
+	}
+	return cuts
+}
+
 // DecideCuts returns where to cut slices that carry too much load to be placed
 // well. Keys are adjacent when they are busy together, so a cut goes where it
 // halves the load. A single key is not cut. It is a pure function.
 func DecideCuts(t *table.Table, service string, loads Loads) []uint64 {
 	servers := len(t.Members(service))
-	if servers < 2 || t.SliceCount(service) >= maxServiceSlices {
+	if servers < 2 || t.SliceCount(service) >= max(slicesPerServer*servers, declaredSlices+maxCuts) {
 		return nil
 	}
 	total := 0.0
--- a/internal/control/items.go
+++ b/internal/control/items.go
@@ -11,8 +11,8 @@
 )
 
 // declaredSlices is the number of slices of a service that configuration items
-// name. A deployment may have several hundred backend servers a service, and a
-// heartbeat answer of 4 KiB bounds the ranges that one server can be told.
+// name, before its first backend servers are known. With it, a heartbeat answer of
+// 4 KiB holds what each of seven servers is told.
 const declaredSlices = 1024
 
 // declared is a service that exists because an item names it.
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -59,6 +59,10 @@
 // its lease: 2 % by the interface of backend servers, and a margin for rounding.
 const backendClockDrift = 0.03
 
+// maxHeldRanges is the number of ranges that an answer to a heartbeat may list: 22
+// bytes each, and 18 for the token of every fourth, within 4 KiB.
+const maxHeldRanges = 145
+
 // LeaderConfig is the environment of a Leader. Zero values mean the defaults.
 type LeaderConfig struct {
 	State    *State
@@ -147,7 +151,7 @@
 	l.term, l.fresh = term, false
 	l.sessions, l.joining = map[string]*session{}, map[string]int{}
 	l.loads = newLoads()
-	l.keeper = keylease.NewKeeper(keylease.Config{Hold: l.cfg.BackendHold, MaxClockDrift: backendClockDrift}, since)
+	l.keeper = keylease.NewKeeper(keylease.Config{Hold: l.cfg.BackendHold, MaxClockDrift: backendClockDrift, MaxRanges: maxHeldRanges}, since)
 	l.staged, l.firstSeen = newStaged(), map[string]time.Time{}
 	l.balanced, l.again = time.Time{}, false
 }
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -15,6 +15,9 @@
 	// loadHalfLife is the age at which a measurement counts half. The hottest keys
 	// change within minutes, and renewals report five times a second.
 	loadHalfLife = 5 * time.Second
+	// heartbeatHalfLife is the same for services that are leased by heartbeat, whose
+	// moves cost little and whose hot ranges last for seconds.
+	heartbeatHalfLife = 2 * time.Second
 	// maxHotKeys bounds the keys tracked per service.
 	maxHotKeys = 4096
 	// minLoad is the requests per second below which a measurement is dropped.
@@ -80,7 +83,7 @@
 }
 
 // fold turns the counts since the last fold into rates.
-func (l *loads) fold(now time.Time) {
+func (l *loads) fold(now time.Time, t *table.Table) {
 	elapsed := now.Sub(l.folded)
 	first := l.folded.IsZero()
 	if !first && elapsed <= 0 {
@@ -90,8 +93,11 @@
 	if first {
 		return // the time that the first counts cover is unknown
 	}
-	weight := decay(elapsed, loadHalfLife)
-	for _, s := range l.services {
+	for name, s := range l.services {
+		weight := decay(elapsed, loadHalfLife)
+		if leasedByHeartbeat(t, name) {
+			weight = decay(elapsed, heartbeatHalfLife)
+		}
 		foldRates(s.slices, elapsed.Seconds(), weight)
 		foldRates(s.keys, elapsed.Seconds(), weight)
 		s.boundKeys()
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -131,7 +131,7 @@
 		return nil, nil, false
 	}
 	l.balanced, l.again = r.now, false
-	l.loads.fold(r.now)
+	l.loads.fold(r.now, l.cfg.State.Table())
 	out := map[string]Loads{}
 	for name := range l.loads.services {
 		out[name] = l.loads.view(name)
--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -122,6 +122,9 @@
 	if !l.settled(t, service) {
 		return nil
 	}
+	if cuts := DecideFirstCuts(t, service, t.Items().Service(service).KeySpan); len(cuts) > 0 {
+		return []command.Command{{Split: &command.Split{Service: service, Cuts: cuts}}}
+	}
 	loads.Slow = nil // their pace says it
 	if cuts := DecideCuts(t, service, loads); len(cuts) > 0 {
 		return []command.Command{{Split: &command.Split{Service: service, Cuts: cuts}}}
--- a/internal/control/staged_test.go
+++ b/internal/control/staged_test.go
@@ -81,3 +81,28 @@
 	loads = Loads{Slices: map[uint64]float64{0: 5, 100: 5, 200: 5, 300: 5}, Keys: map[uint64]float64{10: 1, 11: 1, 12: 1, 13: 1, 14: 1}}
 	is.Equal(DecideCuts(tab, "desk", loads), []uint64{12}) // a whole server's load in one slice
 }
+
+// Guards against few large slices for many servers, and against cuts within a key or
+// of slices that are held.
+func TestFirstCuts(t *testing.T) {
+	is := is.New(t)
+	build := func(state table.SliceState, servers int) *table.Table {
+		b := table.NewBuilder(0)
+		b.PutService(table.Service{File: &service.File{Service: "desk", Version: 1, Key: &service.KeySource{PathSegment: -1}}})
+		for i := range uint64(128) {
+			b.PutSlice("desk", table.Slice{Start: i << 57, State: state})
+		}
+		for i := range servers {
+			b.PutBackend(table.Backend{Service: "desk", Name: fmt.Sprint("b", i), Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: 4, ByHeartbeat: true})
+		}
+		next, err := table.Empty().Apply(b.Delta(1))
+		is.NoErr(err)
+		return next
+	}
+	cuts := DecideFirstCuts(build(table.SliceUnowned, 4), "desk", 1<<48)
+	is.Equal(len(cuts), 128)
+	is.Equal(cuts[1], uint64(1<<57+1<<56))
+	is.Equal(len(DecideFirstCuts(build(table.SliceUnowned, 3), "desk", 1<<48)), 0) // enough of them
+	is.Equal(len(DecideFirstCuts(build(table.SliceOwned, 4), "desk", 1<<48)), 0)
+	is.Equal(len(DecideFirstCuts(build(table.SliceUnowned, 4), "desk", 1<<57)), 0) // a slice a key
+}
--- a/internal/control/weights_test.go
+++ b/internal/control/weights_test.go
@@ -30,7 +30,7 @@
 // fast one has free slots.
 func TestCalmLoadGoesToFastServers(t *testing.T) {
 	is := is.New(t)
-	got := placed(4) // a quarter of 16 slots
+	got := placed(4)           // a quarter of 16 slots
 	is.Equal(got["fast"], 270) // its easy load: 0.45 x 6 slots
 	is.Equal(got["mid2"], 32)  // the least
 	is.Equal(got["slow"], 16)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -28,6 +28,7 @@
 		g.refuse(w, r, nil, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping"), minRetryAfter)
 		return
 	}
+	g.awaitConfiguration(r.Context())
 	c, refusal := g.read(w, r, g.cfg.Tables(), now)
 	if refusal != nil {
 		g.refuse(w, r, c, refusal, 0)
@@ -43,6 +44,22 @@
 	g.answer(w, c, resp)
 }
 
+// configurationWait is how long a request waits for the first configuration. A host
+// that has just started gets it within some round trips if there is a leader.
+const configurationWait = 250 * time.Millisecond
+
+func (g *Gateway) awaitConfiguration(ctx context.Context) {
+	end := g.cfg.Clock.Now().Add(configurationWait)
+	for g.cfg.Tables().Items().Empty() && ctx.Err() == nil {
+		changed := g.tableChange()
+		left := end.Sub(g.cfg.Clock.Now())
+		if left <= 0 || !g.cfg.Tables().Items().Empty() {
+			return
+		}
+		waitFor(ctx, changed, left)
+	}
+}
+
 // smallAnswer is the size up to which an answer is read whole before its head is
 // sent, so that one that breaks off can still be replaced.
 const smallAnswer = 64 << 10
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -232,6 +232,12 @@
 	return nil, failure, g.failed(c, t, s, failure)
 }
 
+func (s *server) free(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backlog.Free(now)
+}
+
 func (s *server) done() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -302,7 +308,11 @@
 	s.mu.Unlock()
 	if said.NotRun {
 		resp.Body.Close()
-		return nil, g.notRun(c, t, resp.StatusCode, said), wait
+		e := g.notRun(c, t, resp.StatusCode, said)
+		if !said.Misdirected && s.free(now) {
+			return nil, e, again // it refuses a share of its requests, whatever its load
+		}
+		return nil, e, wait
 	}
 	c.ran++
 	answer, err := hold(resp)
--- a/internal/items/item.go
+++ b/internal/items/item.go
@@ -82,6 +82,9 @@
 	// granted in the answers to heartbeats.
 	Keyed            bool
 	LeaseByHeartbeat bool
+	// KeySpan is the number of adjacent hashes of one key; zero means one. Ranges of
+	// keys begin at its multiples.
+	KeySpan uint64
 }
 
 // Limits bound what callers may send.
--- a/internal/keylease/keeper.go
+++ b/internal/keylease/keeper.go
@@ -14,6 +14,9 @@
 	Hold time.Duration
 	// MaxClockDrift is how much slower the clock of a backend server may run.
 	MaxClockDrift float64
+	// MaxRanges bounds the ranges of one answer, because backend servers take no
+	// larger one. Slices beyond it are not granted until others have moved.
+	MaxRanges int
 }
 
 // span is the time after which a granted lease is surely over.
@@ -132,6 +135,9 @@
 // Freed returns the slices on the move to a backend server whose old owners gave
 // them up, so that they may be granted.
 func (k *Keeper) Freed(service, to string, all func(yield func(table.Slice) bool)) (starts, epochs []uint64) {
+	if len(k.freed) == 0 {
+		return nil, nil
+	}
 	all(func(s table.Slice) bool {
 		if s.State == table.SliceReleasing && s.Next == to {
 			if f, ok := k.freed[sliceKey{service, s.Start}]; ok && f.epoch == s.Epoch {
@@ -164,7 +170,7 @@
 		return nil, false
 	}
 	h.granted = now
-	out := []wire.KeyRange{}
+	out, tokens := []wire.KeyRange{}, 0
 	for _, s := range slices {
 		if s.State == table.SliceReleasing {
 			if o, ok := h.omitted[s.Start]; !ok || o.epoch != s.Epoch {
@@ -173,11 +179,23 @@
 			continue
 		}
 		delete(h.omitted, s.Start)
-		out = appendRange(out, wire.KeyRange{First: s.Start, Last: s.Last, Epoch: s.Epoch, Handover: k.token(hb, s)})
+		r := wire.KeyRange{First: s.Start, Last: s.Last, Epoch: s.Epoch, Handover: k.token(hb, s)}
+		if r.Handover != "" {
+			if tokens++; tokens > k.cfg.MaxRanges/tokensPerRange {
+				r.Handover = ""
+			}
+		}
+		if next := appendRange(out, r); len(next) <= k.cfg.MaxRanges {
+			out = next
+		}
 	}
 	return out, true
 }
 
+// tokensPerRange keeps the tokens, which nearly double a range, to a part of the
+// answer. A slice without its token is slow at first.
+const tokensPerRange = 4
+
 // token returns the token of a slice until its owner lists the slice.
 func (k *Keeper) token(hb *wire.Heartbeat, s table.Slice) string {
 	key := sliceKey{hb.Service, s.Start}
--- a/internal/keylease/keeper_test.go
+++ b/internal/keylease/keeper_test.go
@@ -14,7 +14,9 @@
 
 var start = time.Unix(1000, 0)
 
-func newKeeper() *Keeper { return NewKeeper(Config{Hold: hold, MaxClockDrift: 0.02}, start) }
+func newKeeper() *Keeper {
+	return NewKeeper(Config{Hold: hold, MaxClockDrift: 0.02, MaxRanges: 100}, start)
+}
 
 func beat(sequence uint64, holds ...wire.KeyRange) *wire.Heartbeat {
 	return &wire.Heartbeat{Service: "desk", Backend: "b1", Born: 5, Sequence: sequence, Holds: holds}
@@ -176,3 +178,20 @@
 	is.True(ok)
 	is.Equal(rows, []wire.KeyRange{{First: 0, Last: 19, Epoch: 7}, {First: 20, Last: 29, Epoch: 8}, {First: 40, Last: 49, Epoch: 8}})
 }
+
+// Guards against an answer that a backend server does not take, whereupon all of its
+// keys lapse.
+func TestAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper()
+	hb := beat(1)
+	k.Observe(start, hb, nil)
+	var list []table.Slice
+	for i := range uint64(300) {
+		list = append(list, owned(20*i, 20*i+9, 7)) // never adjacent
+	}
+	rows, ok := k.Grant(start, hb, list)
+	is.True(ok)
+	is.Equal(len(rows), 100)
+	is.Equal(rows[99].First, uint64(20*99))
+}
