--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -97,7 +98,7 @@
 		Service: hb.Service, Backend: hb.Backend, Starts: starts, Epochs: epochs}})
 	if err != nil || res.Code != command.ResultOK {
 		l.cfg.Logger.Warn("grant not committed; the next heartbeat tries again", zap.String("backend", hb.Backend),
-			zap.Int("slices", len(starts)), zap.Error(err))
+			zap.Int("slices", len(starts)), logging.Error(err))
 		return
 	}
 	l.mu.Lock()
--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -93,7 +94,7 @@
 	}
 	res, err := l.commit(ctx, command.Command{Move: &command.Move{Service: hb.Service, Moves: moves}})
 	if err != nil {
-		l.cfg.Logger.Warn("move not committed; it is decided again", zap.String("backend", hb.Backend), zap.Error(err))
+		l.cfg.Logger.Warn("move not committed; it is decided again", zap.String("backend", hb.Backend), logging.Error(err))
 		return
 	}
 	l.cfg.Logger.Info("slices move away", zap.String("backend", hb.Backend), zap.String("to", moves[0].To), zap.Int("slices", len(moves)),
--- a/internal/daemon/controlcalls.go
+++ b/internal/daemon/controlcalls.go
@@ -12,6 +12,7 @@
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/controlapi"
 	"github.com/agatestep/agatestep/internal/items"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -126,7 +127,7 @@
 	default:
 		fields = append(fields, zap.Uint64("revision", reply.Result.Revision), zap.String("result", reply.Result.Detail))
 	}
-	h.logger.Info(what, append(fields, zap.Error(err))...)
+	h.logger.Info(what, append(fields, logging.Error(err))...)
 	return err
 }
 
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -15,6 +15,7 @@
 	"github.com/agatestep/agatestep/internal/admin"
 	"github.com/agatestep/agatestep/internal/control"
 	"github.com/agatestep/agatestep/internal/controlapi"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/logstore"
 	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/replication"
@@ -132,7 +133,7 @@
 	if errors.Is(err, logstore.ErrDamaged) {
 		// What a damaged folder holds cannot be trusted, as if the disk were lost: the
 		// group admits the replica again as a new one.
-		h.logger.Error("data folder is damaged and is emptied", zap.String("folder", cfg.DataFolder), zap.Error(err))
+		h.logger.Error("data folder is damaged and is emptied", zap.String("folder", cfg.DataFolder), logging.Error(err))
 		if err := emptyFolder(cfg.DataFolder); err != nil {
 			return errors.Annotate(err, "emptying the damaged data folder")
 		}
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -13,6 +13,7 @@
 	"github.com/agatestep/agatestep/internal/coldgate"
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/gateway"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/session"
 	"github.com/agatestep/agatestep/internal/settings"
@@ -163,10 +164,10 @@
 	ctx, cancel := context.WithTimeout(hard, stopMargin/2)
 	defer cancel()
 	if err := traffic.Shutdown(ctx); err != nil {
-		h.logger.Warn("requests cut off by the end of the stop", zap.Int64("in_flight", h.gateway.InFlight()), zap.Error(err))
+		h.logger.Warn("requests cut off by the end of the stop", zap.Int64("in_flight", h.gateway.InFlight()), logging.Error(err))
 	}
 	if err := h.session.Close(ctx); err != nil {
-		h.logger.Warn("session not closed; it expires", zap.Error(err))
+		h.logger.Warn("session not closed; it expires", logging.Error(err))
 	}
 	h.stopServers(ctx)
 	h.logger.Info("stopped", zap.Duration("took", h.clock.Now().Sub(began)))
--- a/internal/daemon/formation.go
+++ b/internal/daemon/formation.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/membership"
 	"github.com/agatestep/agatestep/internal/replication"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -83,7 +84,7 @@
 		request.Members = append(request.Members, admin.ReplicaIdentity{Replica: string(id)})
 	}
 	err := h.replica.bootstrap(request)
-	h.logger.Info("control group formed", zap.Any("founders", founders), zap.Error(err))
+	h.logger.Info("control group formed", zap.Any("founders", founders), logging.Error(err))
 	h.record("bootstrapped", request.Group, fmt.Sprint(founders))
 }
 
@@ -112,7 +113,7 @@
 			var reply wire.ReplicaHelloReply
 			request := wire.ReplicaHello{Replica: string(own.Replica), Empty: own.Empty}
 			if err := h.client.Call(ctx, address, wire.MethodReplicaHello, request, &reply); err != nil {
-				h.logger.Debug("hello not answered", zap.String("address", address), zap.Error(err))
+				h.logger.Debug("hello not answered", zap.String("address", address), logging.Error(err))
 				return
 			}
 			mu.Lock()
@@ -162,7 +163,7 @@
 			continue
 		}
 		err := h.change(ctx, change)
-		h.logger.Info("member change", zap.Uint8("kind", uint8(change.Kind)), zap.String("replica", string(change.ID)), zap.Error(err))
+		h.logger.Info("member change", zap.Uint8("kind", uint8(change.Kind)), zap.String("replica", string(change.ID)), logging.Error(err))
 		h.record("members-changed", string(change.ID), fmt.Sprint(change.Kind))
 	}
 }
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/settings"
 	"github.com/agatestep/agatestep/internal/timeline"
@@ -112,7 +113,7 @@
 	p.servers = append(p.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			p.logger.Error("listener ended", zap.String("listener", name), zap.Error(err))
+			p.logger.Error("listener ended", zap.String("listener", name), logging.Error(err))
 		}
 	}()
 	return server
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -84,7 +85,7 @@
 	d.finishCallers(ctx)
 	d.handRolesOn(ctx)
 	if err := d.session.Close(ctx); err != nil {
-		d.logger.Warn("session not handed over; the standby dispatchers take over when it expires", zap.Error(err))
+		d.logger.Warn("session not handed over; the standby dispatchers take over when it expires", logging.Error(err))
 	}
 	err := errors.Annotate(d.entry.Shutdown(ctx), "requests of callers")
 	if drained := d.dispatcher.Shutdown(ctx); err == nil {
@@ -95,7 +96,7 @@
 	if d.replica != nil {
 		d.replica.stop()
 	}
-	d.logger.Info("stopped", zap.Error(err))
+	d.logger.Info("stopped", logging.Error(err))
 	return err
 }
 
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -6,12 +6,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/daemon"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/settings"
 )
 
@@ -45,11 +47,11 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s)
+	logger, sink, err := logging.New(s.Log, os.Stdout)
 	if err != nil {
-		return err
+		return errors.Annotate(err, "building the log")
 	}
-	defer func() { _ = logger.Sync() }()
+	defer sink.Close(logCloseTimeout)
 	p, err := newProcess(s, logger, adapter)
 	if err != nil {
 		return err
@@ -59,6 +61,9 @@
 	return p.Run(ctx, hard)
 }
 
+// logCloseTimeout bounds the wait for an output that takes no lines at the end.
+const logCloseTimeout = 200 * time.Millisecond
+
 // runner is a process that serves until ctx ends and then stops gracefully, or at
 // once when hard ends.
 type runner interface {
@@ -79,20 +84,6 @@
 	}
 }
 
-func newLogger(s *settings.Settings) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	config.Encoding = s.Log.Format
-	config.DisableStacktrace = true
-	config.Sampling = nil
-	level, err := zap.ParseAtomicLevel(s.Log.Level)
-	if err != nil {
-		return nil, errors.Annotate(err, "log level")
-	}
-	config.Level = level
-	logger, err := config.Build()
-	return logger, errors.Annotate(err, "building the log")
-}
-
 func signalContexts() (soft, hard context.Context) {
 	soft, stop := context.WithCancel(context.Background())
 	hard, kill := context.WithCancel(context.Background())
--- a/internal/daemoncli/reload.go
+++ b/internal/daemoncli/reload.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/settings"
 )
 
@@ -27,7 +28,7 @@
 	defer ticker.Stop()
 	last, err := os.ReadFile(path)
 	if err != nil {
-		logger.Warn("settings file not read", zap.Error(err))
+		logger.Warn("settings file not read", logging.Error(err))
 	}
 	for {
 		signalled := false
@@ -41,7 +42,7 @@
 		content, err := os.ReadFile(path)
 		switch {
 		case err != nil:
-			logger.Warn("settings file not read; the settings stay as they are", zap.Error(err))
+			logger.Warn("settings file not read; the settings stay as they are", logging.Error(err))
 			continue
 		case bytes.Equal(content, last) && !signalled:
 			continue
@@ -50,7 +51,7 @@
 		last = content
 		s, err := settings.Load(path)
 		if err != nil {
-			logger.Error("settings file has mistakes; the settings stay as they are", zap.Error(err))
+			logger.Error("settings file has mistakes; the settings stay as they are", logging.Error(err))
 			continue
 		}
 		logger.Info("settings reloaded", zap.Bool("signalled", signalled), zap.Bool("changed", changed))
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/upstream"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
@@ -135,7 +136,7 @@
 	}
 	g.count(c, outcome, took)
 	if err != nil || status >= http.StatusInternalServerError || c.sends > 1 {
-		g.cfg.Logger.Info("request "+outcome, append(c.fields(), zap.Int("status", status), zap.Duration("took", took), zap.Error(err))...)
+		g.cfg.Logger.Info("request "+outcome, append(c.fields(), zap.Int("status", status), zap.Duration("took", took), logging.Error(err))...)
 	}
 }
 
@@ -177,7 +178,7 @@
 	g.counters.Refusals.Add(string(e.Reason), 1)
 	fields := append(c.fields(), zap.String("verdict", e.Verdict.String()), zap.Int("status", e.Status), zap.String("reason", string(e.Reason)),
 		zap.String("detail", e.Detail), zap.Duration("took", took), zap.Duration("retry_after", retryAfter),
-		zap.Uint64("revision", g.cfg.Tables().Revision()), zap.NamedError("cause", e.Cause))
+		zap.Uint64("revision", g.cfg.Tables().Revision()), logging.Cause("cause", e.Cause))
 	if c == nil {
 		fields = append(fields, zap.String("host", r.Host), zap.String("path", r.URL.Path))
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/backlog"
+	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
 	"github.com/agatestep/agatestep/internal/verdict"
@@ -268,7 +269,7 @@
 func (g *Gateway) failed(c *call, t target, s *server, e *verdict.Error) next {
 	now := g.cfg.Clock.Now()
 	g.cfg.Logger.Info("attempt failed", append(c.fields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
-		zap.String("verdict", e.Verdict.String()), zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail), zap.NamedError("cause", e.Cause))...)
+		zap.String("verdict", e.Verdict.String()), zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail), logging.Cause("cause", e.Cause))...)
 	if e.Reason == verdict.ReasonCancelled || e.Reason == verdict.ReasonDeadline {
 		if e.Verdict != verdict.NotRun {
 			c.ran++
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -91,7 +91,7 @@
 		},
 		Deployment: defaultDeployment(),
 		Shutdown:   Shutdown{Delay: 2 * time.Second, Timeout: 30 * time.Second},
-		Log:        Log{Level: "info", Format: "json"},
+		Log:        Log{Level: "info", Format: "json", LinesPerSecond: 1000},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,6 +153,9 @@
 	Level string `yaml:"level"`
 	// Format is json or console. Default json.
 	Format string `yaml:"format"`
+	// LinesPerSecond bounds the lines that are written; further ones are dropped and
+	// counted. At least 1, default 1000.
+	LinesPerSecond int `yaml:"lines_per_second"`
 }
 
 // The TLS modes.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -41,6 +41,7 @@
 	validateLimits(s, d)
 	requireOneOf(d, "log.level", s.Log.Level, "debug", "info", "warn", "error")
 	requireOneOf(d, "log.format", s.Log.Format, "json", "console")
+	yamldoc.RequireRange(d, "log.lines_per_second", s.Log.LinesPerSecond, 1, 1_000_000)
 	validateTLS(s.TLS, d)
 	d.Require(!d.Has("admin.insecure") || s.Admin.Insecure, "admin.insecure", "must be true when it is given")
 	d.Require((s.Admin.TokenFile != "") != s.Admin.Insecure, "admin",
