--- a/internal/control/cuts.go
+++ b/internal/control/cuts.go
@@ -18,13 +18,15 @@
 	// service is cut. Twice as many, after the loss of half of the servers, still fit
 	// into the answers to heartbeats.
 	slicesPerServer = 70
+	// maxFirstSlices bounds the first cuts; more slices make repairs slow.
+	maxFirstSlices = 4096
 )
 
 // DecideFirstCuts returns cuts that halve all slices of a service that nobody owns
 // yet, while it has few for its servers: small slices spread busy ranges before
 // any load is measured.
 func DecideFirstCuts(t *table.Table, service string, span uint64) []uint64 {
-	if 2*t.SliceCount(service) > slicesPerServer*len(t.Members(service)) {
+	if 2*t.SliceCount(service) > min(slicesPerServer*len(t.Members(service)), maxFirstSlices) {
 		return nil
 	}
 	var cuts []uint64
--- a/internal/control/items.go
+++ b/internal/control/items.go
@@ -8,6 +8,7 @@
 	"github.com/agatestep/agatestep/internal/items"
 	"github.com/agatestep/agatestep/internal/ownership"
 	"github.com/agatestep/agatestep/internal/service"
+	"github.com/agatestep/agatestep/internal/table"
 )
 
 // declaredSlices is the number of slices of a service that configuration items
@@ -78,8 +79,8 @@
 	s.declared[item.Name] = &declared{file: file, revision: index}
 }
 
-// reported applies what a backend server says of itself. A server that is new
-// gets slices by a later decision of the leader.
+// reported applies what a backend server says of itself. A server that is new,
+// or leaves, gets or gives up slices by a later decision of the leader.
 func (s *State) reported(index uint64, r *command.BackendReported) error {
 	if s.declared[r.Service] == nil {
 		return invalidf("backend server %s/%s: no configuration item names the service", r.Service, r.Backend)
@@ -88,17 +89,16 @@
 	if err != nil {
 		return err
 	}
-	if o := s.slices[r.Service]; o != nil && ended[r.Service] {
-		o.Replace(r.Backend, s.fleet, index)
-	}
-	delete(ended, r.Service)
-	for _, name := range sortedNames(ended) {
-		if o := s.slices[name]; o != nil {
-			o.Promote(s.fleet, index)
-		}
-	}
-	if o := s.slices[r.Service]; o != nil && r.Leaving {
-		o.Reassign(s.fleet, index)
+	for _, ref := range ended {
+		s.orphan(ref, index)
 	}
 	return nil
 }
+
+// orphan takes the slices from a server that is over. The leader repairs the
+// service soon.
+func (s *State) orphan(ref table.BackendRef, index uint64) {
+	if o := s.slices[ref.Service]; o != nil {
+		o.Orphan(ref.Name, index)
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -129,12 +129,14 @@
 	loads    *loads
 	keeper   *keylease.Keeper
 	staged   *staged
-	// firstSeen is when a service without owners had its first backend server.
-	firstSeen map[string]time.Time
-	balanced  time.Time // last decision to split and move
-	again     bool      // the next decision is due at once
-	wake      chan struct{}
-	election  singleflight.Group
+	arrivals map[string]arrivals // by service without owners
+	// repaired is when a service was last looked through for slices to be given
+	// away, and at which revision.
+	repaired map[string]look
+	balanced time.Time // last decision to split and move
+	again    bool      // the next decision is due at once
+	wake     chan struct{}
+	election singleflight.Group
 	// orderly is when a dispatcher last began to give its role up in an orderly
 	// way; leases that it granted before may go on for a while.
 	orderly time.Time
@@ -152,7 +154,7 @@
 	l.sessions, l.joining = map[string]*session{}, map[string]int{}
 	l.loads = newLoads()
 	l.keeper = keylease.NewKeeper(keylease.Config{Hold: l.cfg.BackendHold, MaxClockDrift: backendClockDrift, MaxRanges: maxHeldRanges}, since)
-	l.staged, l.firstSeen = newStaged(), map[string]time.Time{}
+	l.staged, l.arrivals, l.repaired = newStaged(), map[string]arrivals{}, map[string]look{}
 	l.balanced, l.again = time.Time{}, false
 }
 
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -52,6 +52,7 @@
 		return nil
 	}
 	due := append(Decide(v), held...)
+	due = append(due, l.repairs(v.Table)...)
 	l.carryOut(ctx, due)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -110,10 +110,6 @@
 	return heard.Add((missed + 1) * interval)
 }
 
-// settleDelay is how long the leader waits after a service without owners gets
-// its first backend server, so that the others are there when keys are granted.
-const settleDelay = time.Second
-
 // balanceService returns the commands that are due for one service.
 func (l *Leader) balanceService(t *table.Table, service string, loads Loads) []command.Command {
 	if !leasedByHeartbeat(t, service) {
@@ -153,23 +149,3 @@
 	s := t.Items().Service(service)
 	return s != nil && s.LeaseByHeartbeat
 }
-
-// settled reports whether keys of a service may be given out.
-func (l *Leader) settled(t *table.Table, service string) bool {
-	for s := range t.AllSlices(service) {
-		if s.State != table.SliceUnowned {
-			return true
-		}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(t.Members(service)) == 0 {
-		delete(l.firstSeen, service)
-		return false
-	}
-	now := l.cfg.Clock.Now()
-	if l.firstSeen[service].IsZero() {
-		l.firstSeen[service] = now
-	}
-	return now.Sub(l.firstSeen[service]) >= settleDelay
-}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -198,9 +198,14 @@
 		return "", s.reported(index, c.BackendReported)
 	case c.BackendLost != nil:
 		l := c.BackendLost
-		if err := s.fleet.LoseBackend(table.BackendRef{Service: l.Service, Name: l.Backend}, l.Incarnation, index); err != nil {
+		ref := table.BackendRef{Service: l.Service, Name: l.Backend}
+		if err := s.fleet.LoseBackend(ref, l.Incarnation, index); err != nil {
 			return "", err
 		}
+		if s.declared[l.Service] != nil {
+			s.orphan(ref, index)
+			return "", nil
+		}
 		if o := s.slices[l.Service]; o != nil {
 			o.Promote(s.fleet, index)
 		}
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -9,9 +9,9 @@
 )
 
 // Report records what a backend server says in its heartbeats. It returns the
-// services in which a server ended: an address serves one process at a time, so
+// servers whose processes it ended: an address serves one process at a time, so
 // a process that was born later ends whatever was at its address or had its name.
-func (f *Fleet) Report(r *command.BackendReported, index uint64) (ended map[string]bool, err error) {
+func (f *Fleet) Report(r *command.BackendReported, index uint64) (ended []table.BackendRef, err error) {
 	ref := table.BackendRef{Service: r.Service, Name: r.Backend}
 	if err := checkReport(r); err != nil {
 		return nil, err
@@ -25,11 +25,10 @@
 	if err != nil {
 		return nil, err
 	}
-	ended = map[string]bool{}
 	for _, other := range others {
 		f.loseHeld(other, index)
-		ended[other.Service] = true
 	}
+	ended = others
 	next := reported(r)
 	if old != nil {
 		next.Past, next.Epoch = old.Past, old.Epoch
@@ -37,7 +36,7 @@
 		if old.Born == r.Born {
 			next.Leaving = r.Leaving || old.Leaving
 		} else if !old.Lost {
-			ended[r.Service] = true
+			ended = append(ended, ref)
 		}
 	}
 	next.Draining = f.drained(ref, r.DataCentre)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -173,6 +173,17 @@
 	}
 }
 
+// Orphan takes the slices of a server whose process is over from it, and leaves it
+// to a later Reassign to give them away: when many servers end at once, one
+// Reassign serves all.
+func (s *Slices) Orphan(backend string, index uint64) {
+	for i := range s.list {
+		if e := &s.list[i]; e.Owner == backend {
+			s.grant(e, "", index)
+		}
+	}
+}
+
 // Repair does a Reassign if a slice is not complete.
 func (s *Slices) Repair(fleet Fleet, index uint64) {
 	c := NewCoverage(fleet.Available(s.service))
