--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/admin"
-	"github.com/agatestep/agatestep/internal/coldgate"
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/gateway"
 	"github.com/agatestep/agatestep/internal/logging"
@@ -41,8 +39,7 @@
 	session *session.Session
 	gateway *gateway.Gateway
 
-	permits sync.Mutex // guards cold
-	cold    *coldgate.Gate
+	permits *permitDesk
 }
 
 // NewEntryHost puts an entry host together and opens its listeners.
@@ -51,7 +48,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	h := &EntryHost{process: p, adapter: adapter, cold: coldgate.New()}
+	h := &EntryHost{process: p, adapter: adapter, permits: newPermitDesk(p.clock)}
 	l := cfg.Listen
 	if err := h.listen(map[string]string{listenTraffic: l.Traffic, listenReadiness: l.Readiness, listenPeer: l.Peer, listenAdmin: l.Admin}); err != nil {
 		h.closeListeners()
@@ -67,7 +64,7 @@
 	})
 	d := cfg.Deployment
 	h.gateway = gateway.New(gateway.Config{
-		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, ColdPermit: h.coldPermit,
+		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Permits: h,
 		Dialect: adapter, Clock: h.clock, Logger: logger,
 		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * float64(d.RetrySlack),
 			LeaveFor:    time.Duration(drainTimeUsed * float64(d.DrainTime)),
@@ -101,7 +98,8 @@
 		return errors.Trace(err)
 	}
 	h.peers.Register(wire.MethodTimelineRead, peer.Handle(h.handleTimeline))
-	h.peers.Register(wire.MethodColdPermit, peer.Handle(h.handleColdPermit))
+	h.peers.Register(wire.MethodPermitAsk, peer.Handle(h.handlePermitAsk))
+	h.peers.Register(wire.MethodPermitDone, peer.Handle(h.handlePermitDone))
 	go func() { _ = h.peers.Serve(h.listeners[listenPeer], h.serverTLS) }() // ends with its listener
 	traffic := h.serveHTTP(listenTraffic, h.gateway, nil)
 	h.serveHTTP(listenReadiness, h.adapter.ReadinessHandler(h.ready), nil)
@@ -125,6 +123,7 @@
 			return
 		case <-ticker.C:
 			h.gateway.Clean()
+			h.permits.clean()
 		}
 	}
 }
@@ -173,49 +172,3 @@
 	h.logger.Info("stopped", zap.Duration("took", h.clock.Now().Sub(began)))
 	return nil
 }
-
-// permitTimeout bounds the question for a permit: a round trip between data
-// centres and the work of a busy host.
-const permitTimeout = 150 * time.Millisecond
-
-// coldPermit asks the dispatcher of a cold backend server for leave to send.
-func (h *EntryHost) coldPermit(ctx context.Context, b *table.Backend) (wire.ColdPermitReply, error) {
-	request := wire.ColdPermit{Service: b.Service, Backend: b.Name, Born: b.Born}
-	if b.Dispatcher == h.settings.Host {
-		return h.handleColdPermit(ctx, request)
-	}
-	host := h.session.Table().Host(b.Dispatcher)
-	if host == nil {
-		return wire.ColdPermitReply{}, errors.Errorf("backend server %s has no dispatcher", b.Name)
-	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	var reply wire.ColdPermitReply
-	err := h.client.Call(ctx, host.PeerAddress, wire.MethodColdPermit, request, &reply)
-	return reply, errors.Trace(err)
-}
-
-// handleColdPermit gives permits for the backend servers whose dispatcher this
-// host is, while its session proves that no other host is.
-func (h *EntryHost) handleColdPermit(_ context.Context, r wire.ColdPermit) (wire.ColdPermitReply, error) {
-	t := h.session.Table()
-	b := t.Backend(r.Service, r.Backend)
-	switch {
-	case !h.session.Valid():
-		return wire.ColdPermitReply{Reason: "the dispatcher has no session"}, nil
-	case b == nil || b.Born != r.Born || b.Dispatcher != h.settings.Host:
-		return wire.ColdPermitReply{Reason: "this host is not the dispatcher of the backend server"}, nil
-	}
-	rate := coldgate.Rate{}
-	if s := t.Items().Service(r.Service); s != nil {
-		d := h.settings.Deployment
-		rate = coldgate.Rate{PerSecond: coldRateUsed * d.ColdOvershoot * s.ColdRate, Burst: coldSlackUsed * float64(d.ColdSlack)}
-	}
-	h.permits.Lock()
-	defer h.permits.Unlock()
-	ok, retry := h.cold.Take(h.clock.Now(), coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, rate)
-	if !ok {
-		return wire.ColdPermitReply{RetryMs: retry.Milliseconds(), Reason: "the rate of the cold backend server is used up"}, nil
-	}
-	return wire.ColdPermitReply{Granted: true}, nil
-}
--- /dev/null
+++ b/internal/daemon/permits.go
@@ -0,0 +1,209 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/coldgate"
+	"github.com/agatestep/agatestep/internal/gateway"
+	"github.com/agatestep/agatestep/internal/logging"
+	"github.com/agatestep/agatestep/internal/permit"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+const (
+	// permitPoll is how long an ask waits for its turn before it is asked again, so
+	// that a dispatcher that is lost is noticed.
+	permitPoll = 100 * time.Millisecond
+	// permitTimeout bounds one ask: permitPoll, a round trip between data centres and
+	// the work of a busy host.
+	permitTimeout = 250 * time.Millisecond
+	// queueForget is how long an unused queue is kept.
+	queueForget = 10 * time.Second
+)
+
+// permitDesk keeps the queues of the backend servers whose dispatcher this host is.
+type permitDesk struct {
+	clock clock.Clock
+
+	mu     sync.Mutex
+	cold   *coldgate.Gate
+	queues map[coldgate.Key]*deskQueue
+}
+
+type deskQueue struct {
+	*permit.Queue
+	wake map[permit.ID]chan struct{}
+	used time.Time
+}
+
+func newPermitDesk(c clock.Clock) *permitDesk {
+	return &permitDesk{clock: c, cold: coldgate.New(), queues: map[coldgate.Key]*deskQueue{}}
+}
+
+func (d *permitDesk) queue(key coldgate.Key, slots int) *deskQueue {
+	q := d.queues[key]
+	if q == nil {
+		q = &deskQueue{Queue: permit.New(slots), wake: map[permit.ID]chan struct{}{}}
+		d.queues[key] = q
+	}
+	q.SetSlots(slots)
+	q.used = d.clock.Now()
+	return q
+}
+
+// notify wakes the asks whose state changed.
+func (q *deskQueue) notify(changed []permit.ID) {
+	for _, id := range changed {
+		if c, ok := q.wake[id]; ok {
+			close(c)
+			delete(q.wake, id)
+		}
+	}
+}
+
+func (d *permitDesk) clean() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, q := range d.queues {
+		if q.Idle() && d.clock.Now().Sub(q.used) > queueForget {
+			delete(d.queues, key)
+		}
+	}
+}
+
+// ask lets a request in, and waits for its turn for a moment.
+func (d *permitDesk) ask(ctx context.Context, key coldgate.Key, slots int, rate coldgate.Rate, r wire.PermitAsk) wire.PermitReply {
+	d.mu.Lock()
+	q := d.queue(key, slots)
+	now, id := d.clock.Now(), permit.ID(r.ID)
+	var state permit.State
+	var wait time.Duration
+	if r.Again {
+		q.notify(q.Next(now))
+		state, wait = q.Poll(now, id)
+	} else {
+		if ok, retry := d.cold.Take(now, key, rate); !ok {
+			d.mu.Unlock()
+			return wire.PermitReply{State: wire.PermitRefused, WaitMs: retry.Milliseconds(), Reason: "the rate of the cold backend server is used up"}
+		}
+		state, wait = q.Ask(now, permit.Ask{ID: id, Rank: r.Rank, Target: now.Add(time.Duration(r.TargetMs) * time.Millisecond),
+			Until: now.Add(time.Duration(r.LeftMs) * time.Millisecond), Service: time.Duration(r.ServiceMs) * time.Millisecond})
+	}
+	if state != permit.Waiting {
+		d.mu.Unlock()
+		return permitReply(state, wait)
+	}
+	turn := make(chan struct{})
+	q.wake[id] = turn
+	d.mu.Unlock()
+	waitTurn(ctx, turn)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(q.wake, id)
+	now = d.clock.Now()
+	q.notify(q.Next(now))
+	return permitReply(q.Poll(now, id))
+}
+
+func waitTurn(ctx context.Context, turn <-chan struct{}) {
+	timer := time.NewTimer(permitPoll)
+	defer timer.Stop()
+	select {
+	case <-turn:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func permitReply(state permit.State, wait time.Duration) wire.PermitReply {
+	switch state {
+	case permit.Granted:
+		return wire.PermitReply{State: wire.PermitGranted}
+	case permit.Waiting:
+		return wire.PermitReply{State: wire.PermitWaiting}
+	case permit.Refused:
+		return wire.PermitReply{State: wire.PermitRefused, WaitMs: wait.Milliseconds(), Reason: "the expected wait leaves no time for the work"}
+	default:
+		return wire.PermitReply{State: wire.PermitUnable, Reason: "the ask is not known"}
+	}
+}
+
+func (d *permitDesk) done(key coldgate.Key, r wire.PermitDone) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q, ok := d.queues[key]
+	if !ok {
+		return // this host has not been the dispatcher since its start
+	}
+	q.Done(permit.ID(r.ID), time.Duration(r.TookMs)*time.Millisecond)
+	q.notify(q.Next(d.clock.Now()))
+}
+
+var _ gateway.Permits = (*EntryHost)(nil)
+
+// Ask implements gateway.Permits.
+func (h *EntryHost) Ask(ctx context.Context, b *table.Backend, r wire.PermitAsk) (wire.PermitReply, error) {
+	if b.Dispatcher == h.settings.Host {
+		return h.handlePermitAsk(ctx, r)
+	}
+	host := h.session.Table().Host(b.Dispatcher)
+	if host == nil {
+		return wire.PermitReply{}, errors.Errorf("backend server %s has no dispatcher", b.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var reply wire.PermitReply
+	err := h.client.Call(ctx, host.PeerAddress, wire.MethodPermitAsk, r, &reply)
+	return reply, errors.Trace(err)
+}
+
+// Done implements gateway.Permits. A report that is lost is made up for by the end
+// of the permit's time.
+func (h *EntryHost) Done(b *table.Backend, r wire.PermitDone) {
+	if b.Dispatcher == h.settings.Host {
+		h.permits.done(coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, r)
+		return
+	}
+	if host := h.session.Table().Host(b.Dispatcher); host != nil {
+		go h.reportDone(host, r) // the answer does not wait for it
+	}
+}
+
+func (h *EntryHost) reportDone(host *table.Host, r wire.PermitDone) {
+	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	defer cancel()
+	if err := h.client.Notify(ctx, host.PeerAddress, wire.MethodPermitDone, r); err != nil {
+		h.logger.Debug("end of a request not reported", zap.String("dispatcher", host.Name), logging.Error(err))
+	}
+}
+
+// handlePermitAsk answers for the backend servers whose dispatcher this host is,
+// while its session proves that no other host is.
+func (h *EntryHost) handlePermitAsk(ctx context.Context, r wire.PermitAsk) (wire.PermitReply, error) {
+	t := h.session.Table()
+	b := t.Backend(r.Service, r.Backend)
+	switch {
+	case !h.session.Valid():
+		return wire.PermitReply{State: wire.PermitUnable, Reason: "the dispatcher has no session"}, nil
+	case b == nil || b.Born != r.Born || b.Dispatcher != h.settings.Host:
+		return wire.PermitReply{State: wire.PermitUnable, Reason: "this host is not the dispatcher of the backend server"}, nil
+	}
+	rate := coldgate.Rate{}
+	if s := t.Items().Service(r.Service); s != nil && b.Cold {
+		d := h.settings.Deployment
+		rate = coldgate.Rate{PerSecond: coldRateUsed * d.ColdOvershoot * s.ColdRate, Burst: coldSlackUsed * float64(d.ColdSlack)}
+	}
+	return h.permits.ask(ctx, coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, b.Slots, rate, r), nil
+}
+
+func (h *EntryHost) handlePermitDone(_ context.Context, r wire.PermitDone) (struct{}, error) {
+	h.permits.done(coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, r)
+	return struct{}{}, nil
+}
--- /dev/null
+++ b/internal/gateway/admit.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/backlog"
+	"github.com/agatestep/agatestep/internal/logging"
+	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/verdict"
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// unableFor is how long a dispatcher that did not answer is not asked. Its session
+// ends within two seconds, and another one takes over.
+const unableFor = time.Second
+
+// pass is the leave to send one request, or the reason why there is none.
+type pass struct {
+	id      uint64 // zero when no dispatcher was asked
+	refusal *verdict.Error
+	// delay is when a refused caller should return.
+	delay time.Duration
+	// moved is set when the key got another owner in the meantime, held when the
+	// request should wait and try again.
+	moved bool
+	held  bool
+}
+
+// admit gets the leave to send a call to its target: from the dispatcher of the
+// backend server, or by this host's own estimate while the dispatcher does not
+// answer. A cold backend server gets nothing without its dispatcher.
+func (g *Gateway) admit(ctx context.Context, c *call, t target) pass {
+	b := t.backend
+	if !c.keyed && !b.Cold {
+		return pass{} // the choice of the server was the admission
+	}
+	if g.mayAsk(b.Dispatcher) {
+		p, answered := g.ask(ctx, c, t)
+		if answered {
+			return p
+		}
+	}
+	if b.Cold {
+		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "the backend server is cold and its dispatcher does not answer"), delay: unableFor}
+	}
+	return g.estimate(c, b)
+}
+
+func (g *Gateway) mayAsk(dispatcher string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return dispatcher != "" && !g.cfg.Clock.Now().Before(g.unable[dispatcher])
+}
+
+func (g *Gateway) markUnable(dispatcher string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unable[dispatcher] = g.cfg.Clock.Now().Add(unableFor)
+}
+
+// ask asks the dispatcher until it decides. answered is false if it cannot.
+func (g *Gateway) ask(ctx context.Context, c *call, t target) (p pass, answered bool) {
+	b, now := t.backend, g.cfg.Clock.Now()
+	request := wire.PermitAsk{Service: b.Service, Backend: b.Name, Born: b.Born, ID: rand.Uint64() | 1, Rank: c.match.Priority,
+		TargetMs: c.arrived.Add(c.match.Target).Sub(now).Milliseconds(), LeftMs: c.left(now).Milliseconds(),
+		ServiceMs: g.times(c.service).mean(c.match.Name).Milliseconds()}
+	for {
+		reply, err := g.cfg.Permits.Ask(ctx, b, request)
+		switch {
+		case ctx.Err() != nil:
+			go g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
+			return pass{refusal: ended(ctx)}, true
+		case err != nil || reply.State == wire.PermitUnable:
+			g.markUnable(b.Dispatcher)
+			g.cfg.Logger.Info("dispatcher does not answer", append(c.fields(), zap.String("backend", b.Name),
+				zap.String("dispatcher", b.Dispatcher), zap.String("reason", reply.Reason), logging.Error(err))...)
+			return pass{}, false
+		case reply.State == wire.PermitGranted:
+			return pass{id: request.ID}, true
+		case reply.State == wire.PermitRefused:
+			return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, reply.Reason), delay: time.Duration(reply.WaitMs) * time.Millisecond}, true
+		}
+		request.Again = true
+		if g.ownerChanged(c, t) {
+			g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
+			return pass{moved: true}, true
+		}
+	}
+}
+
+func (g *Gateway) ownerChanged(c *call, t target) bool {
+	if !c.keyed {
+		return false
+	}
+	slice, ok := g.cfg.Tables().Lookup(c.service, c.Hash)
+	return !ok || slice.Owner != t.slice.Owner || slice.Epoch != t.slice.Epoch
+}
+
+// estimate decides by what this host knows of the server's load.
+func (g *Gateway) estimate(c *call, b *table.Backend) pass {
+	now := g.cfg.Clock.Now()
+	d := g.demand(c, now)
+	s := g.server(b)
+	s.mu.Lock()
+	decision, delay := s.backlog.Admit(now, d)
+	s.mu.Unlock()
+	switch decision {
+	case backlog.Refuse:
+		return pass{refusal: overloaded(delay), delay: delay - d.Left/2}
+	case backlog.Hold:
+		return pass{held: true}
+	}
+	return pass{}
+}
+
+// release reports the end of a request that had a permit.
+func (g *Gateway) release(b *table.Backend, id uint64, took time.Duration) {
+	if id != 0 {
+		g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: id, TookMs: took.Milliseconds()})
+	}
+}
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -11,7 +11,7 @@
 
 // Counters are the metrics of the gateways of a process.
 type Counters struct {
-	Requests, Retries, Opened, Reused, ColdPermits *expvar.Int
+	Requests, Retries, Opened, Reused *expvar.Int
 	// Outcomes counts requests by kind and outcome, Refusals by reason.
 	Outcomes, Refusals *expvar.Map
 	latencies          *latencies
@@ -21,14 +21,13 @@
 
 func newCounters() *Counters {
 	c := &Counters{
-		Requests:    expvar.NewInt("agatestep_gateway_requests"),
-		Retries:     expvar.NewInt("agatestep_gateway_retries"),
-		Opened:      expvar.NewInt("agatestep_gateway_connections_opened"),
-		Reused:      expvar.NewInt("agatestep_gateway_connections_reused"),
-		ColdPermits: expvar.NewInt("agatestep_gateway_cold_permits"),
-		Outcomes:    expvar.NewMap("agatestep_gateway_outcomes"),
-		Refusals:    expvar.NewMap("agatestep_gateway_refusals"),
-		latencies:   &latencies{byLabel: map[string]*hdrhistogram.Histogram{}},
+		Requests:  expvar.NewInt("agatestep_gateway_requests"),
+		Retries:   expvar.NewInt("agatestep_gateway_retries"),
+		Opened:    expvar.NewInt("agatestep_gateway_connections_opened"),
+		Reused:    expvar.NewInt("agatestep_gateway_connections_reused"),
+		Outcomes:  expvar.NewMap("agatestep_gateway_outcomes"),
+		Refusals:  expvar.NewMap("agatestep_gateway_refusals"),
+		latencies: &latencies{byLabel: map[string]*hdrhistogram.Histogram{}},
 	}
 	expvar.Publish("agatestep_gateway_latency_ms", c.latencies)
 	return c
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,14 +21,21 @@
 	Host       string
 	DataCentre string
 	Tables     func() *table.Table
-	// ColdPermit asks the dispatcher of a cold backend server for leave to send to it.
-	ColdPermit func(ctx context.Context, b *table.Backend) (wire.ColdPermitReply, error)
+	Permits    Permits
 	Dialect    Dialect
 	Clock      clock.Clock
 	Logger     *zap.Logger
 	Limits     Limits
 }
 
+// Permits reaches the dispatchers of backend servers.
+type Permits interface {
+	// Ask asks the dispatcher of a backend server for leave to send a request.
+	Ask(ctx context.Context, b *table.Backend, r wire.PermitAsk) (wire.PermitReply, error)
+	// Done reports the end of a request, or takes an ask back.
+	Done(b *table.Backend, r wire.PermitDone)
+}
+
 // Limits bound what one gateway does.
 type Limits struct {
 	// RetryRatio and RetryBurst bound the requests that all hosts together send once
@@ -68,7 +75,9 @@
 	budgets  map[string]*balance.Budget
 	services map[string]*serviceTimes
 	marks    map[serverKey]mark
-	changed  chan struct{} // closed by the next table
+	// unable are the dispatchers that did not answer, until when they are not asked.
+	unable  map[string]time.Time
+	changed chan struct{} // closed by the next table
 
 	loads *loads
 	// hosts is the largest number of entry hosts that this process has seen.
@@ -99,7 +108,7 @@
 	g := &Gateway{
 		cfg: cfg, split: newSplitter(), counters: counters,
 		servers: map[serverKey]*server{}, budgets: map[string]*balance.Budget{},
-		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{},
+		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{}, unable: map[string]time.Time{},
 		changed: make(chan struct{}), loads: newLoads(),
 	}
 	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, UserTimeout: userTimeout,
--- /dev/null
+++ b/internal/permit/queue_test.go
@@ -0,0 +1,166 @@
+package permit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+const work = 100 * time.Millisecond
+
+func ask(id ID, rank int, left time.Duration) Ask {
+	return Ask{ID: id, Rank: rank, Target: start.Add(left / 2), Until: start.Add(left), Service: work}
+}
+
+// Guards against more requests at a server than its slots and the one ahead: some
+// servers hang when they cannot queue a request.
+func TestNeverMoreThanTheServerBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		q, now := New(slots), start
+		running := map[ID]bool{}
+		for id := ID(1); id < 100; id++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
+			if s, _ := q.Ask(now, Ask{ID: id, Rank: int(id % 3), Target: now.Add(time.Second), Until: now.Add(2 * time.Second), Service: work}); s == Granted {
+				running[id] = true
+			}
+			for done := range running {
+				if rapid.Bool().Draw(t, "done") {
+					delete(running, done)
+					q.Done(done, work)
+				}
+				break
+			}
+			for _, changed := range q.Next(now) {
+				if s, _ := q.Poll(now, changed); s == Granted {
+					running[changed] = true
+				}
+			}
+			if len(running) > slots+ahead {
+				t.Fatalf("%d requests run on %d slots", len(running), slots)
+			}
+		}
+	})
+}
+
+// A hot key: eight times the load that a server bears for two seconds, from hosts
+// that wait for their turn. Guards against goodput that falls because requests are
+// worked on that nobody waits for any more, and against late refusals.
+func TestHotServerKeepsItsGoodput(t *testing.T) {
+	const slots, every, left = 2, 6 * time.Millisecond, 800 * time.Millisecond
+	q, now := New(slots), start
+	type run struct {
+		id   ID
+		ends time.Time
+	}
+	var running []run
+	arrived, until := map[ID]time.Time{}, map[ID]time.Time{}
+	onTime, late, refusedLate := 0, 0, 0
+	grant := func(id ID) { running = append(running, run{id, now.Add(work)}) }
+	for id := ID(1); now.Sub(start) < 2*time.Second; id++ {
+		now = now.Add(every)
+		arrived[id], until[id] = now, now.Add(left)
+		if s, _ := q.Ask(now, Ask{ID: id, Target: now.Add(left / 2), Until: until[id], Service: work}); s == Granted {
+			grant(id)
+		}
+		kept := running[:0]
+		for _, r := range running {
+			if r.ends.After(now) {
+				kept = append(kept, r)
+				continue
+			}
+			q.Done(r.id, work)
+			if r.ends.Sub(arrived[r.id]) <= left/2 {
+				onTime++
+			} else if !r.ends.After(until[r.id]) {
+				late++
+			}
+		}
+		running = kept
+		for _, changed := range q.Next(now) {
+			if s, _ := q.Poll(now, changed); s == Granted {
+				grant(changed)
+			} else if now.Sub(arrived[changed]) > left {
+				refusedLate++
+			}
+		}
+		for seen := range arrived { // their hosts go on asking
+			if now.Sub(arrived[seen]) < left {
+				q.Poll(now, seen)
+			}
+		}
+	}
+	// Two slots and one ahead, a tenth of a second each, work for two seconds.
+	if done := onTime + late; done < 50 {
+		t.Errorf("%d answered within their time (%d on time), want at least 50", done, onTime)
+	}
+	if refusedLate > 0 {
+		t.Errorf("%d refused after their time", refusedLate)
+	}
+}
+
+// Overload: guards against a request of low rank that is sent before an urgent one,
+// and against a late one that takes the place of one that can still be on time.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	q := New(1)
+	for id := ID(1); id <= 2; id++ {
+		s, _ := q.Ask(start, ask(id, 2, time.Minute))
+		is.Equal(s, Granted)
+	}
+	for id, rank := range map[ID]int{3: 2, 4: 1} {
+		s, _ := q.Ask(start, ask(id, rank, time.Minute))
+		is.Equal(s, Waiting)
+	}
+	past := ask(5, 1, time.Minute)
+	past.Target = start
+	s, _ := q.Ask(start.Add(-time.Millisecond), past) // came first, but is late already
+	is.Equal(s, Waiting)
+	var order []ID
+	for _, done := range []ID{1, 2, 4} {
+		q.Done(done, work)
+		order = append(order, q.Next(start)...)
+	}
+	is.Equal(order, []ID{4, 5, 3})
+}
+
+// Guards against a request that waits although it cannot be served, and against one
+// that is refused although it can.
+func TestRefusalsAreAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := New(1)
+	q.Ask(start, ask(1, 0, time.Minute))
+	q.Ask(start, ask(2, 0, time.Minute))
+	q.Ask(start, ask(3, 0, time.Minute))
+	s, wait := q.Ask(start, ask(4, 0, 150*time.Millisecond)) // two rounds of work ahead
+	is.Equal(s, Refused)
+	is.True(wait >= work)
+	s, _ = q.Ask(start, ask(5, 0, 300*time.Millisecond))
+	is.Equal(s, Waiting)
+	s, _ = q.Ask(start, ask(6, 3, 450*time.Millisecond)) // of the lowest rank
+	is.Equal(s, Refused)
+}
+
+// Guards against slots that stay taken when hosts are lost or callers leave.
+func TestLostHostsFreeTheirSlots(t *testing.T) {
+	is := is.New(t)
+	q := New(1)
+	q.Ask(start, ask(1, 0, time.Second))
+	q.Ask(start, ask(2, 0, time.Second))
+	q.Ask(start, ask(3, 0, time.Minute))
+	q.Done(3, 0) // taken back
+	is.Equal(len(q.Next(start)), 0)
+	later := start.Add(time.Second + overdueAfter + 1)
+	s, _ := q.Ask(later, Ask{ID: 4, Target: later, Until: later.Add(time.Second), Service: work})
+	is.Equal(s, Granted)
+	q.Ask(later, Ask{ID: 5, Target: later, Until: later.Add(time.Minute), Service: work})
+	q.Ask(later, Ask{ID: 6, Target: later, Until: later.Add(time.Minute), Service: work})
+	q.Done(4, work)
+	is.Equal(len(q.Next(later.Add(abandonedAfter+1))), 0) // nobody asks about 6
+	s, _ = q.Poll(later, 6)
+	is.Equal(s, Unknown)
+}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -55,20 +55,54 @@
 	Backend string `json:"backend"`
 }
 
-// ColdPermit asks the dispatcher of a cold backend server for leave to send one
-// request to it.
-type ColdPermit struct {
+// PermitAsk asks the dispatcher of a backend server for leave to send one request
+// to it, or asks again about such an ask. The answer may take a tenth of a second.
+type PermitAsk struct {
 	Service string `json:"service"`
 	Backend string `json:"backend"`
 	Born    int64  `json:"born"`
+	// ID is chosen by the entry host and unique among all hosts.
+	ID uint64 `json:"id"`
+	// Again is set when the host asks about the same request again.
+	Again bool `json:"again,omitempty"`
+	// Rank is the priority of the request, 0 first.
+	Rank int `json:"rank,omitempty"`
+	// TargetMs is the time until an answer loses part of its use, LeftMs until its
+	// caller gives up, both from now.
+	TargetMs int64 `json:"target_ms"`
+	LeftMs   int64 `json:"left_ms"`
+	// ServiceMs is the usual time of such requests.
+	ServiceMs int64 `json:"service_ms"`
 }
 
-// ColdPermitReply answers ColdPermit.
-type ColdPermitReply struct {
-	Granted bool `json:"granted"`
-	// RetryMs is when the next permit may be free.
-	RetryMs int64  `json:"retry_ms,omitempty"`
-	Reason  string `json:"reason,omitempty"`
+// PermitState says what became of an ask.
+type PermitState string
+
+// The states of an ask.
+const (
+	PermitGranted PermitState = "granted"
+	PermitWaiting PermitState = "waiting" // ask again at once
+	PermitRefused PermitState = "refused"
+	// PermitUnable means that this host cannot answer for the backend server now.
+	PermitUnable PermitState = "unable"
+)
+
+// PermitReply answers PermitAsk.
+type PermitReply struct {
+	State PermitState `json:"state"`
+	// WaitMs is the time after which a refused caller may return.
+	WaitMs int64  `json:"wait_ms,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// PermitDone reports the end of a request that was sent, or takes an ask back.
+type PermitDone struct {
+	Service string `json:"service"`
+	Backend string `json:"backend"`
+	Born    int64  `json:"born"`
+	ID      uint64 `json:"id"`
+	// TookMs is the time that the backend server worked on it; zero if it did not.
+	TookMs int64 `json:"took_ms,omitempty"`
 }
 
 // ReadItems asks the leader for the configuration items in force.
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -14,7 +14,8 @@
 	MethodReplace         = "control.replace"    // ReplaceReplica -> ReplaceReply
 	MethodHeartbeat       = "backend.heartbeat"  // Heartbeat -> HeartbeatReply
 	MethodDeregister      = "backend.deregister" // Deregister -> HeartbeatReply
-	MethodColdPermit      = "cold.permit"        // ColdPermit -> ColdPermitReply
+	MethodPermitAsk       = "permit.ask"         // PermitAsk -> PermitReply
+	MethodPermitDone      = "permit.done"        // notification, PermitDone
 	MethodReadItems       = "items.read"         // ReadItems -> ReadItemsReply
 	MethodReplicaHello    = "replica.hello"      // ReplicaHello -> ReplicaHelloReply
 )
