--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -97,7 +97,7 @@
 }
 
 func incomplete(t *table.Table, service string, servers []placement.Server) bool {
-	c := ownership.NewCoverage(servers)
+	c := ownership.NewCoverage(servers, leasedByHeartbeat(t, service))
 	for s := range t.AllSlices(service) {
 		if !c.Complete(&s) {
 			return true
--- a/internal/control/items.go
+++ b/internal/control/items.go
@@ -74,7 +74,7 @@
 	file := &service.File{Service: item.Name, Version: 1, ColdStart: service.ColdStart{Limit: 1, Ramp: item.Service.ColdFor}}
 	if item.Service.Keyed {
 		file.Key, file.Slices = &service.KeySource{PathSegment: -1}, declaredSlices
-		s.slices[item.Name] = ownership.New(item.Name, declaredSlices)
+		s.slices[item.Name] = ownership.New(item.Name, declaredSlices).WithoutStandbys()
 	}
 	s.declared[item.Name] = &declared{file: file, revision: index}
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -99,6 +99,11 @@
 	s.fleet = fleet.Load(snap.Fleet)
 	s.sources = sources
 	s.slices = loadSlices(t)
+	for name := range declaredServices {
+		if o := s.slices[name]; o != nil {
+			o.WithoutStandbys()
+		}
+	}
 	s.results = newResults()
 	for i := range snap.Results {
 		s.results.add(&snap.Results[i])
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		s.release(e, m.To)
-		if e.Standby == m.To {
+		if e.Standby == m.To && !s.single {
 			e.Standby = e.Owner
 		}
 		started++
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -33,6 +33,8 @@
 type Slices struct {
 	service string
 	list    []table.Slice // sorted by start; Last is not maintained
+	// single is set for services whose slices have no standbys.
+	single  bool
 	changed map[uint64]bool
 	// touched are the backend servers whose set of slices changed.
 	touched map[string]bool
@@ -56,6 +58,14 @@
 	return &Slices{service: service, list: list, changed: map[uint64]bool{}, touched: map[string]bool{}}
 }
 
+// WithoutStandbys makes slices have no standbys: where a new owner gets its slices
+// with its next heartbeat, a standby saves no time, and choosing one takes most of
+// a repair.
+func (s *Slices) WithoutStandbys() *Slices {
+	s.single = true
+	return s
+}
+
 // Len returns the number of slices.
 func (s *Slices) Len() int { return len(s.list) }
 
@@ -118,7 +128,11 @@
 			view[i].Owner = e.Next
 		}
 	}
-	for i, want := range placement.Assign(fleet.Available(s.service), view) {
+	assign := placement.Assign
+	if s.single {
+		assign = placement.AssignOwners
+	}
+	for i, want := range assign(fleet.Available(s.service), view) {
 		s.settle(&s.list[i], want, fleet, index)
 	}
 }
@@ -186,7 +200,7 @@
 
 // Repair does a Reassign if a slice is not complete.
 func (s *Slices) Repair(fleet Fleet, index uint64) {
-	c := NewCoverage(fleet.Available(s.service))
+	c := NewCoverage(fleet.Available(s.service), s.single)
 	for i := range s.list {
 		if !c.Complete(&s.list[i]) {
 			s.Reassign(fleet, index)
@@ -199,11 +213,12 @@
 type Coverage struct {
 	dataCentre map[string]string // by server
 	several    bool              // servers are in several data centres
+	single     bool              // slices have no standbys
 }
 
-// NewCoverage returns the coverage by servers.
-func NewCoverage(servers []placement.Server) Coverage {
-	c := Coverage{dataCentre: make(map[string]string, len(servers))}
+// NewCoverage returns the coverage by servers. With single, slices have no standbys.
+func NewCoverage(servers []placement.Server, single bool) Coverage {
+	c := Coverage{single: single, dataCentre: make(map[string]string, len(servers))}
 	for _, s := range servers {
 		c.dataCentre[s.Name] = s.DataCentre
 		c.several = c.several || s.DataCentre != servers[0].DataCentre
@@ -218,7 +233,7 @@
 	if s.State == table.SliceReleasing {
 		holder = s.Next
 	}
-	if holder == "" || len(c.dataCentre) < 2 {
+	if holder == "" || len(c.dataCentre) < 2 || c.single {
 		_, ok := c.dataCentre[holder]
 		return ok || (holder == "" && len(c.dataCentre) == 0)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,12 +33,18 @@
 	config *tls.Config
 
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	conns map[string]*conn
+}
+
+// conn is a connection that knows when the other side last answered on it.
+type conn struct {
+	*jsonrpc2.Conn
+	answered atomic.Int64 // Unix nanoseconds of the local clock
 }
 
 // NewClient returns a client; a nil TLS configuration means plain TCP.
 func NewClient(clock *timeline.Clock, config *tls.Config) *Client {
-	return &Client{clock: clock, config: config, conns: map[string]*jsonrpc2.Conn{}}
+	return &Client{clock: clock, config: config, conns: map[string]*conn{}}
 }
 
 // Call calls a method at an address and waits for its result.
@@ -51,10 +58,12 @@
 		return errors.Trace(err)
 	}
 	var out envelope
+	sent := time.Now()
 	if err := conn.Call(ctx, method, in, &out); err != nil {
-		c.dropOnTransportError(address, conn, err)
+		c.dropOnTransportError(address, conn, sent, err)
 		return errors.Annotatef(err, "calling %s at %s", method, address)
 	}
+	conn.answered.Store(time.Now().UnixNano())
 	c.clock.Observe(timeline.Stamp(out.Clock))
 	return errors.Trace(json.Unmarshal(out.Body, result))
 }
@@ -86,12 +95,12 @@
 	}
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (*conn, error) {
 	c.mu.Lock()
-	conn, ok := c.conns[address]
+	known, ok := c.conns[address]
 	c.mu.Unlock()
-	if ok && !disconnected(conn) {
-		return conn, nil
+	if ok && !disconnected(known) {
+		return known, nil
 	}
 	fresh, err := c.dial(ctx, address)
 	if err != nil {
@@ -107,16 +116,16 @@
 	return fresh, nil
 }
 
-func disconnected(conn *jsonrpc2.Conn) bool {
+func disconnected(c *conn) bool {
 	select {
-	case <-conn.DisconnectNotify():
+	case <-c.DisconnectNotify():
 		return true
 	default:
 		return false
 	}
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -133,7 +142,7 @@
 		}
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, lengthCodec{})
-	return jsonrpc2.NewConn(context.Background(), stream, handlerFunc(refuse), quiet), nil
+	return &conn{Conn: jsonrpc2.NewConn(context.Background(), stream, handlerFunc(refuse), quiet)}, nil
 }
 
 func (c *Client) secure(ctx context.Context, raw net.Conn, address string) (net.Conn, error) {
@@ -164,18 +173,31 @@
 	})
 }
 
+// silentFor is how long nothing must have been answered on a connection before a
+// call that runs out of time says that it is silent: several round trips between
+// data centres.
+const silentFor = 100 * time.Millisecond
+
 // dropOnTransportError closes the connection unless the other side answered.
 // After a call that ran out of time the connection may be cut silently, so the
-// next call must open a new one instead of waiting on it again.
-func (c *Client) dropOnTransportError(address string, conn *jsonrpc2.Conn, err error) {
+// next call must open a new one instead of waiting on it again. It is not cut if
+// another call was answered lately: closing it would fail all that are on their
+// way to a host that is only slow.
+func (c *Client) dropOnTransportError(address string, conn *conn, sent time.Time, err error) {
 	var answered *jsonrpc2.Error
 	if errors.As(err, &answered) {
+		conn.answered.Store(time.Now().UnixNano())
+		return
+	}
+	gaveUp := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	heard := conn.answered.Load() >= min(sent.UnixNano(), time.Now().Add(-silentFor).UnixNano())
+	if gaveUp && heard && !disconnected(conn) {
 		return
 	}
 	c.drop(address, conn)
 }
 
-func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+func (c *Client) drop(address string, conn *conn) {
 	c.mu.Lock()
 	if c.conns[address] == conn {
 		delete(c.conns, address)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -97,3 +97,30 @@
 		is.New(t).True(err != nil || json.Valid(got))
 	})
 }
+
+// Guards against a call that runs out of time and takes all others on its way to a
+// slow host with it.
+func TestTimeoutSparesTheOtherCalls(t *testing.T) {
+	is, c := is.New(t), NewClient(timeline.NewClock(time.Now), nil)
+	s, address := echo(t, nil, bound)
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	s.Register("slow", Handle(func(_ context.Context, text string) (string, error) {
+		entered <- struct{}{}
+		<-release
+		return text, nil
+	}))
+	first := make(chan error)
+	go func() {
+		_, err := call(c, address, "slow", bound)
+		first <- err
+	}()
+	<-entered
+	go func() { // another call is answered while the next one waits
+		<-entered
+		_, _ = call(c, address, "echo", bound)
+	}()
+	_, err := call(c, address, "slow", 2*silentFor)
+	is.True(err != nil)
+	close(release)
+	is.NoErr(<-first)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -135,6 +135,20 @@
 	return out
 }
 
+// AssignOwners is Assign without standbys.
+func AssignOwners(servers []Server, slices []Slice) []Slice {
+	if len(servers) == 0 {
+		return Assign(servers, slices)
+	}
+	out := append([]Slice(nil), slices...)
+	p := newPlan(servers, slices)
+	p.placeOrphans()
+	for i := range out {
+		out[i].Owner, out[i].Standby = p.servers[p.owner[i]].Name, ""
+	}
+	return out
+}
+
 // promoteStandbys gives each slice without an available owner to its standby.
 func (p *plan) promoteStandbys() {
 	for i, o := range p.owner {
