--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -56,11 +57,23 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(s.Memory)
 	ctx, hard := signalContexts()
 	go watchSettings(ctx, c.Settings, logger, p)
 	return p.Run(ctx, hard)
 }
 
+// softLimitShare is the part of the memory that a process may use at which the
+// collector begins to work harder.
+const softLimitShare = 0.75
+
+func limitMemory(m settings.Memory) {
+	debug.SetGCPercent(m.GCPercent)
+	if m.LimitMB > 0 {
+		debug.SetMemoryLimit(int64(softLimitShare * float64(m.LimitMB) * (1 << 20)))
+	}
+}
+
 // logCloseTimeout bounds the wait for an output that takes no lines at the end.
 const logCloseTimeout = 200 * time.Millisecond
 
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -9,9 +9,19 @@
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
-// localAdvantage is how much longer a backend server in this data centre may take
-// and still be preferred: bytes between data centres cost, and the way is longer.
-const localAdvantage = 10 * time.Millisecond
+// How much longer a backend server in this data centre may take and still be
+// preferred: the way to others is longer, and bytes between data centres cost and
+// compete for links.
+const (
+	localAdvantage      = 10 * time.Millisecond
+	localAdvantagePerKB = time.Millisecond
+	maxLocalAdvantage   = 100 * time.Millisecond
+)
+
+func (c *call) localAdvantage() time.Duration {
+	size := time.Duration(max(c.request.ContentLength, 0) >> 10)
+	return min(localAdvantage+size*localAdvantagePerKB, maxLocalAdvantage)
+}
 
 // failingCost is the time that a server's share of failed requests counts for.
 const failingCost = 400 * time.Millisecond
@@ -38,7 +48,7 @@
 		cost += time.Duration(s.backlog.InFlight()) * time.Millisecond // spreads load among servers that look alike
 		s.mu.Unlock()
 		if b.DataCentre != g.cfg.DataCentre {
-			cost += localAdvantage
+			cost += c.localAdvantage()
 		}
 		if b.Cold {
 			cost += d.Service
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -42,6 +42,9 @@
 	// lowestShare is the part of its time for which a request of the lowest rank may
 	// be expected to wait; one of the highest rank may use all of it.
 	lowestShare = 0.6
+	// maxWaitShare is the part of its time that a request may wait. One that has
+	// waited longer is refused while its caller has time to return.
+	maxWaitShare = 0.5
 	// ranks are the priorities that are told apart.
 	ranks = 4
 	// abandonedAfter is how long an ask is kept whose host does not ask about it. It
@@ -95,6 +98,11 @@
 	return time.Duration(share * float64(e.Until.Sub(now)))
 }
 
+// maxWait is the longest time that a request waits.
+func (e *entry) maxWait() time.Duration {
+	return time.Duration(maxWaitShare * float64(e.Until.Sub(e.arrived)))
+}
+
 // before reports whether e is sent before other at now: by rank, then those that
 // can still meet their target, then by arrival.
 func (q *Queue) before(now time.Time, e, other *entry) bool {
@@ -127,7 +135,7 @@
 		}
 	}
 	wait := q.wait(a, position)
-	if wait+time.Duration(minWork*float64(q.service(&a))) > e.patience(now) {
+	if wait+time.Duration(minWork*float64(q.service(&a))) > e.patience(now) || wait > e.maxWait() {
 		return Refused, q.wait(a, len(q.waiting))
 	}
 	q.waiting = append(q.waiting, e)
@@ -216,7 +224,7 @@
 		work := time.Duration(minWork * float64(q.service(&e.Ask)))
 		switch {
 		case now.Sub(e.polled) > abandonedAfter:
-		case now.Add(work).After(e.Until):
+		case now.Add(work).After(e.Until), now.Sub(e.arrived) > e.maxWait():
 			q.refused[e.ID] = q.wait(e.Ask, len(q.waiting))
 			changed = append(changed, e.ID)
 		default:
--- a/internal/permit/queue_test.go
+++ b/internal/permit/queue_test.go
@@ -143,6 +143,12 @@
 	is.Equal(s, Waiting)
 	s, _ = q.Ask(start, ask(6, 3, 450*time.Millisecond)) // of the lowest rank
 	is.Equal(s, Refused)
+	// A server that works more slowly than expected: what has waited for half of its
+	// time is refused while its caller can still return.
+	is.Equal(q.Next(start.Add(150*time.Millisecond)), nil)
+	is.Equal(q.Next(start.Add(151*time.Millisecond)), []ID{5})
+	s, _ = q.Poll(start.Add(151*time.Millisecond), 5)
+	is.Equal(s, Refused)
 }
 
 // Guards against slots that stay taken when hosts are lost or callers leave.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -91,6 +91,7 @@
 		},
 		Deployment: defaultDeployment(),
 		Shutdown:   Shutdown{Delay: 2 * time.Second, Timeout: 30 * time.Second},
+		Memory:     Memory{GCPercent: 100},
 		Log:        Log{Level: "info", Format: "json", LinesPerSecond: 1000},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,8 @@
 	Limits Limits `yaml:"limits"`
 	// Shutdown bounds a planned stop.
 	Shutdown Shutdown `yaml:"shutdown"`
+	// Memory sets how the garbage collector trades processor time for memory.
+	Memory Memory `yaml:"memory"`
 	// Log sets what is logged and how.
 	Log Log `yaml:"log"`
 	// TLS protects the peer and relay connections between daemons. Required.
@@ -146,6 +148,16 @@
 	Timeout time.Duration `yaml:"timeout"`
 }
 
+// Memory sets how the garbage collector trades processor time for memory.
+type Memory struct {
+	// GCPercent is the growth of the heap, in percent, after which garbage is
+	// collected. 10 to 1000, default 100.
+	GCPercent int `yaml:"gc_percent"`
+	// LimitMB is the memory that the process may use, in megabytes; the collector
+	// works harder near it. 0 means no limit. Default 0.
+	LimitMB int `yaml:"limit_mb"`
+}
+
 // Log sets what is logged and how.
 type Log struct {
 	// Level is the lowest level that is logged: debug, info, warn or error.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -42,6 +42,8 @@
 	requireOneOf(d, "log.level", s.Log.Level, "debug", "info", "warn", "error")
 	requireOneOf(d, "log.format", s.Log.Format, "json", "console")
 	yamldoc.RequireRange(d, "log.lines_per_second", s.Log.LinesPerSecond, 1, 1_000_000)
+	yamldoc.RequireRange(d, "memory.gc_percent", s.Memory.GCPercent, 10, 1000)
+	yamldoc.RequireRange(d, "memory.limit_mb", s.Memory.LimitMB, 0, 1<<20)
 	validateTLS(s.TLS, d)
 	d.Require(!d.Has("admin.insecure") || s.Admin.Insecure, "admin.insecure", "must be true when it is given")
 	d.Require((s.Admin.TokenFile != "") != s.Admin.Insecure, "admin",
