--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -32,6 +32,14 @@
 	evacuateTimeUsed = 0.5
 )
 
+const (
+	// callsPerSession lets several replicas be silent before a session ends.
+	callsPerSession = 4
+	// peerDialTimeout is longer than the delay that uploads cause on a link of some
+	// megabits a second.
+	peerDialTimeout = 400 * time.Millisecond
+)
+
 // EntryHost serves callers in a deployment whose hosts have one role each.
 type EntryHost struct {
 	*process
@@ -48,6 +56,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	p.client.DialTimeout = peerDialTimeout
 	h := &EntryHost{process: p, adapter: adapter, permits: newPermitDesk(p.clock)}
 	l := cfg.Listen
 	if err := h.listen(map[string]string{listenTraffic: l.Traffic, listenReadiness: l.Readiness, listenPeer: l.Peer, listenAdmin: l.Admin}); err != nil {
@@ -59,7 +68,7 @@
 		Host: command.HostJoined{Host: cfg.Host, DataCentre: cfg.DataCentre, PeerAddress: l.Peer, RelayAddress: l.Traffic, AdminAddress: l.Admin},
 
 		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, Clock: h.clock, Logger: logger,
-		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.RenewInterval, WatchPoll: cfg.Timing.WatchPoll,
+		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.SessionTTL / callsPerSession, WatchPoll: cfg.Timing.WatchPoll,
 		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, Record: h.record,
 	})
 	d := cfg.Deployment
--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -18,12 +18,11 @@
 )
 
 const (
-	// permitPoll is how long an ask waits for its turn before it is asked again, so
-	// that a dispatcher that is lost is noticed.
-	permitPoll = 100 * time.Millisecond
-	// permitTimeout bounds one ask: permitPoll, a round trip between data centres and
-	// the work of a busy host.
-	permitTimeout = 250 * time.Millisecond
+	// maxPermitPoll bounds how long an ask waits for its turn before it is asked
+	// again. Hosts ask for less.
+	maxPermitPoll = 500 * time.Millisecond
+	// doneTimeout bounds the report of the end of a request.
+	doneTimeout = 500 * time.Millisecond
 	// queueForget is how long an unused queue is kept.
 	queueForget = 10 * time.Second
 )
@@ -103,7 +102,7 @@
 	turn := make(chan struct{})
 	q.wake[id] = turn
 	d.mu.Unlock()
-	waitTurn(ctx, turn)
+	waitTurn(ctx, turn, min(time.Duration(r.PollMs)*time.Millisecond, maxPermitPoll))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(q.wake, id)
@@ -112,8 +111,8 @@
 	return permitReply(q.Poll(now, id))
 }
 
-func waitTurn(ctx context.Context, turn <-chan struct{}) {
-	timer := time.NewTimer(permitPoll)
+func waitTurn(ctx context.Context, turn <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-turn:
@@ -157,8 +156,6 @@
 	if host == nil {
 		return wire.PermitReply{}, errors.Errorf("backend server %s has no dispatcher", b.Name)
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
 	var reply wire.PermitReply
 	err := h.client.Call(ctx, host.PeerAddress, wire.MethodPermitAsk, r, &reply)
 	return reply, errors.Trace(err)
@@ -177,7 +174,7 @@
 }
 
 func (h *EntryHost) reportDone(host *table.Host, r wire.PermitDone) {
-	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 	defer cancel()
 	if err := h.client.Notify(ctx, host.PeerAddress, wire.MethodPermitDone, r); err != nil {
 		h.logger.Debug("end of a request not reported", zap.String("dispatcher", host.Name), logging.Error(err))
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -18,6 +18,20 @@
 // ends within two seconds, and another one takes over.
 const unableFor = time.Second
 
+// An ask takes a part of the request's time at most, so that there is time for the
+// estimate when the dispatcher does not answer. Small links delay answers by some
+// hundred milliseconds while uploads pass.
+const (
+	askShare    = 0.2
+	minAskTime  = 150 * time.Millisecond
+	maxAskTime  = 700 * time.Millisecond
+	askPollPart = 0.4 // of the time of an ask that the dispatcher may use
+)
+
+func askTime(left time.Duration) time.Duration {
+	return min(max(time.Duration(askShare*float64(left)), minAskTime), maxAskTime)
+}
+
 // pass is the leave to send one request, or the reason why there is none.
 type pass struct {
 	id      uint64 // zero when no dispatcher was asked
@@ -68,8 +82,10 @@
 	request := wire.PermitAsk{Service: b.Service, Backend: b.Name, Born: b.Born, ID: rand.Uint64() | 1, Rank: c.match.Priority,
 		TargetMs: c.arrived.Add(c.match.Target).Sub(now).Milliseconds(), LeftMs: c.left(now).Milliseconds(),
 		ServiceMs: g.times(c.service).mean(c.match.Name).Milliseconds()}
+	timeout := askTime(c.left(now))
+	request.PollMs = int64(askPollPart * float64(timeout.Milliseconds()))
 	for {
-		reply, err := g.cfg.Permits.Ask(ctx, b, request)
+		reply, err := g.askOnce(ctx, b, request, timeout)
 		switch {
 		case ctx.Err() != nil:
 			go g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
@@ -92,6 +108,12 @@
 	}
 }
 
+func (g *Gateway) askOnce(ctx context.Context, b *table.Backend, r wire.PermitAsk, timeout time.Duration) (wire.PermitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return g.cfg.Permits.Ask(ctx, b, r)
+}
+
 func (g *Gateway) ownerChanged(c *call, t target) bool {
 	if !c.keyed {
 		return false
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,6 +31,8 @@
 type Client struct {
 	clock  *timeline.Clock
 	config *tls.Config
+	// DialTimeout bounds the opening of a connection. It is set before the first use.
+	DialTimeout time.Duration
 
 	mu    sync.Mutex
 	conns map[string]*conn
@@ -44,7 +46,7 @@
 
 // NewClient returns a client; a nil TLS configuration means plain TCP.
 func NewClient(clock *timeline.Clock, config *tls.Config) *Client {
-	return &Client{clock: clock, config: config, conns: map[string]*conn{}}
+	return &Client{clock: clock, config: config, DialTimeout: dialTimeout, conns: map[string]*conn{}}
 }
 
 // Call calls a method at an address and waits for its result.
@@ -126,7 +128,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: c.DialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -49,7 +49,7 @@
 	ranks = 4
 	// abandonedAfter is how long an ask is kept whose host does not ask about it. It
 	// is longer than two polls.
-	abandonedAfter = 400 * time.Millisecond
+	abandonedAfter = time.Second
 	// overdueAfter is how long after its caller gave up a permit is kept whose end was
 	// not reported, because its host is gone.
 	overdueAfter = 300 * time.Millisecond
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -73,6 +73,8 @@
 	LeftMs   int64 `json:"left_ms"`
 	// ServiceMs is the usual time of such requests.
 	ServiceMs int64 `json:"service_ms"`
+	// PollMs is how long the answer may take; the host asks again after it.
+	PollMs int64 `json:"poll_ms"`
 }
 
 // PermitState says what became of an ask.
