--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -62,7 +62,7 @@
 	clear(h.answers)
 }
 
-// changes returns the encoded way from revision since to t, the current table, or
+// changes returns the packed way from revision since to t, the current table, or
 // to a somewhat older one from which a delta leads on.
 func (h *history) changes(since uint64, t *table.Table) (delta, snapshot []byte, revision uint64) {
 	if since >= t.Revision() {
@@ -77,6 +77,9 @@
 		return nil, old, at
 	}
 	snapshot, err := t.Snapshot()
+	if err == nil {
+		snapshot, err = table.Pack(snapshot)
+	}
 	if err != nil {
 		return nil, nil, since
 	}
@@ -126,8 +129,11 @@
 		}
 	}
 	encoded, err := b.Delta(to).Encode()
+	if err == nil {
+		encoded, err = table.Pack(encoded)
+	}
 	if err != nil {
-		return nil
+		return nil // the host gets a snapshot instead
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -229,7 +229,9 @@
 	}
 	is.True(g.Watch(ctx, wire.TableWatch{Revision: since}).Delta != nil)
 	beyond := g.Watch(ctx, wire.TableWatch{Revision: since - 1})
-	got, err := table.DecodeSnapshot(beyond.Snapshot)
+	encoded, err := table.Unpack(beyond.Snapshot)
+	is.NoErr(err)
+	got, err := table.DecodeSnapshot(encoded)
 	is.True(err == nil && beyond.Delta == nil && got.Revision() == g.state.Table().Revision())
 	short, cancel := context.WithTimeout(ctx, time.Millisecond)
 	defer cancel()
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -133,14 +133,19 @@
 // follow brings a host's table up to date as the host does.
 func follow(t rapid.TB, from *table.Table, s *State) *table.Table {
 	delta, snapshot, revision := s.Changes(from.Revision())
+	unpack := func(packed []byte) []byte {
+		encoded, err := table.Unpack(packed)
+		check(t, err == nil, "%v", err)
+		return encoded
+	}
 	var err error
 	if delta != nil {
 		var d *table.Delta
-		if d, err = table.DecodeDelta(delta); err == nil {
+		if d, err = table.DecodeDelta(unpack(delta)); err == nil {
 			from, err = from.Apply(d)
 		}
 	} else if snapshot != nil {
-		from, err = table.DecodeSnapshot(snapshot)
+		from, err = table.DecodeSnapshot(unpack(snapshot))
 	}
 	check(t, err == nil && from.Revision() == revision, "host does not reach revision %d: %v", revision, err)
 	return from
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	p.client.DialTimeout = peerDialTimeout
+	p.client.DialTimeout, p.logClient.DialTimeout = peerDialTimeout, peerDialTimeout
 	h := &EntryHost{process: p, adapter: adapter, permits: newPermitDesk(p.clock)}
 	l := cfg.Listen
 	if err := h.listen(map[string]string{listenTraffic: l.Traffic, listenReadiness: l.Readiness, listenPeer: l.Peer, listenAdmin: l.Admin}); err != nil {
@@ -67,7 +67,7 @@
 		// Requests are not relayed; the relay address only has to be one of this host.
 		Host: command.HostJoined{Host: cfg.Host, DataCentre: cfg.DataCentre, PeerAddress: l.Peer, RelayAddress: l.Traffic, AdminAddress: l.Admin},
 
-		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, Clock: h.clock, Logger: logger,
+		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, WatchCaller: h.logClient, Clock: h.clock, Logger: logger,
 		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.SessionTTL / callsPerSession, WatchPoll: cfg.Timing.WatchPoll,
 		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, Record: h.record,
 	})
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -31,7 +31,7 @@
 	serverTLS *tls.Config
 	clientTLS *tls.Config
 	client    *peer.Client // calls
-	logClient *peer.Client // messages of the replicated log
+	logClient *peer.Client // messages of the replicated log, and table watches
 	peers     *peer.Server
 
 	listeners map[string]net.Listener
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -32,8 +32,11 @@
 	Host     command.HostJoined
 	Instance string
 	// Replicas are the control replicas.
-	Replicas      []Replica
-	Caller        Caller
+	Replicas []Replica
+	Caller   Caller
+	// WatchCaller follows the table, over connections of its own where it is set, so
+	// that large changes do not delay renewals.
+	WatchCaller   Caller
 	Clock         clock.Clock
 	Logger        *zap.Logger
 	RenewInterval time.Duration
@@ -62,6 +65,7 @@
 	renewing sync.Mutex
 	lastLoad time.Time
 	closing  atomic.Bool
+	patience time.Duration // of the watch loop only
 	changed  chan struct{}
 }
 
@@ -75,7 +79,10 @@
 
 // New returns a session that holds no lease yet.
 func New(cfg Config) *Session {
-	s := &Session{cfg: cfg, leader: newLeaderHint(cfg.Replicas), changed: make(chan struct{}, 1)}
+	if cfg.WatchCaller == nil {
+		cfg.WatchCaller = cfg.Caller
+	}
+	s := &Session{cfg: cfg, patience: cfg.CallTimeout, leader: newLeaderHint(cfg.Replicas), changed: make(chan struct{}, 1)}
 	s.seeds.Store(&cfg.Replicas)
 	s.table.Store(table.Empty())
 	s.lease.Store(&lease{})
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -57,6 +57,8 @@
 	is.New(t).NoErr(err)
 	data, err := full.Snapshot()
 	is.New(t).NoErr(err)
+	data, err = table.Pack(data)
+	is.New(t).NoErr(err)
 	l.table = wire.TableReply{Snapshot: data}
 	is.New(t).NoErr(s.Watch(context.Background()))
 }
@@ -132,3 +134,33 @@
 		is.Equal(name+": "+strings.Join(l.asked, " "), name+": "+c.asked)
 	}
 }
+
+// slowLink answers a watch only if it is given enough time.
+type slowLink struct {
+	needs time.Duration
+	tries int
+}
+
+func (s *slowLink) Call(ctx context.Context, _, _ string, _, _ any) error {
+	s.tries++
+	if until, ok := ctx.Deadline(); ok && time.Until(until) < s.needs {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// A large change on a small link. Guards against a host that stops the answer each
+// time it is under way, and stays with its old table.
+func TestWatchWaitsLongerAfterEachTimeout(t *testing.T) {
+	is, s, l := newSession(t)
+	link := &slowLink{needs: 5 * time.Second}
+	s.cfg.WatchCaller = link
+	for range 4 {
+		if s.Watch(context.Background()) == nil {
+			break
+		}
+	}
+	is.True(link.tries > 1 && link.tries <= 4)
+	is.Equal(len(l.asked), 0) // renewals have connections of their own
+	is.Equal(s.patience, s.cfg.CallTimeout)
+}
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -14,6 +14,11 @@
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
+// maxPatience bounds the wait for an answer to a watch beyond the poll. The wait
+// doubles after each that ran out of time: the answer may be larger than the link
+// carries in the usual time.
+const maxPatience = 8 * time.Second
+
 // watchRetryPause keeps a host from asking in a tight loop while no replica leads.
 const watchRetryPause = 50 * time.Millisecond
 
@@ -31,14 +36,18 @@
 // Watch asks the leader once for changes after the current revision and applies them.
 func (s *Session) Watch(ctx context.Context) error {
 	address := s.leader.get()
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.cfg.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.patience)
 	defer cancel()
 	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision()}
 	var reply wire.TableReply
-	if err := s.cfg.Caller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
+	if err := s.cfg.WatchCaller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			s.patience = min(2*s.patience, maxPatience)
+		}
 		s.leader.advance(address, "")
 		return errors.Trace(err)
 	}
+	s.patience = s.cfg.CallTimeout
 	if reply.Reason != "" {
 		s.leader.advance(address, reply.Leader)
 		return errors.Errorf("%s: %s", address, reply.Reason)
@@ -73,9 +82,17 @@
 func nextTable(current *table.Table, reply wire.TableReply) (*table.Table, error) {
 	switch {
 	case len(reply.Snapshot) > 0:
-		return table.DecodeSnapshot(reply.Snapshot)
+		encoded, err := table.Unpack(reply.Snapshot)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return table.DecodeSnapshot(encoded)
 	case len(reply.Delta) > 0:
-		delta, err := table.DecodeDelta(reply.Delta)
+		encoded, err := table.Unpack(reply.Delta)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		delta, err := table.DecodeDelta(encoded)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
