--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -28,7 +28,7 @@
 	coldSlackUsed  = 0.6
 	// drainTimeUsed is the part of the time to drain for which a leaving backend
 	// server is used. The rest is for the way of the news and of the requests.
-	drainTimeUsed    = 0.5
+	drainTimeUsed    = 0.3
 	evacuateTimeUsed = 0.5
 )
 
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -31,9 +31,6 @@
 )
 
 const (
-	// ahead is the number of requests beyond its slots that a server is sent, so that
-	// it has the next one while the end of one is on its way.
-	ahead = 1
 	// serviceWeight is the weight of a new service time in the mean of the server.
 	serviceWeight = 0.1
 	// minWork is the part of the usual service time that must be left when a request
@@ -55,6 +52,10 @@
 	overdueAfter = 300 * time.Millisecond
 )
 
+// ahead is the number of requests beyond its slots that a server is sent, so that
+// it has the next ones while the ends of others are on their way.
+func ahead(slots int) int { return max(1, slots/2) }
+
 // Queue is the queue of one backend server. It is not safe for concurrent use.
 type Queue struct {
 	slots   int
@@ -148,7 +149,7 @@
 	return time.Duration(rounds * float64(q.service(&a)))
 }
 
-func (q *Queue) free() int { return q.slots + ahead - len(q.sent) }
+func (q *Queue) free() int { return q.slots + ahead(q.slots) - len(q.sent) }
 
 // Poll returns the state of an ask whose host asks about it again.
 func (q *Queue) Poll(now time.Time, id ID) (State, time.Duration) {
