--- a/internal/backlog/server.go
+++ b/internal/backlog/server.go
@@ -20,8 +20,6 @@
 	reportHalfLife = 300 * time.Millisecond
 	// paceHalfLife is the same for the pace, which changes many times a second.
 	paceHalfLife = 400 * time.Millisecond
-	// serviceWeight is the weight of a new service time in the mean.
-	serviceWeight = 0.1
 	// minRoom and roomPerSlot bound the requests that may wait at a backend server:
 	// one that cannot queue a request may never answer it.
 	minRoom     = 4
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -44,8 +44,6 @@
 	Misdirected bool
 	// Load is what the server says of its load; nil when it does not.
 	Load *backlog.Report
-	// ColdFor is how long the server stays cold.
-	ColdFor time.Duration
 }
 
 // OwnDialect is the product's own.
