--- /dev/null
+++ b/internal/control/seed_test.go
@@ -0,0 +1,3 @@
+package control
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -230,14 +230,14 @@
 		if err != nil {
 			return "", err
 		}
-		n, err := o.Release(c.Released, index)
+		n, err := o.Release(c.Released, s.fleet, index)
 		return countDetail(n, len(c.Released.Starts)), err
 	case c.Granted != nil:
 		o, err := s.keyed(c.Granted.Service)
 		if err != nil {
 			return "", err
 		}
-		n, err := o.Grant(c.Granted, index)
+		n, err := o.Grant(c.Granted, s.fleet, index)
 		return countDetail(n, len(c.Granted.Starts)), err
 	case c.Repair != nil:
 		o, err := s.keyed(c.Repair.Service)
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -44,7 +44,8 @@
 
 // Release completes the moves of slices that their old owner gave up. A release
 // of another owner or epoch has no effect; when none fits, the error is ErrStale.
-func (s *Slices) Release(r *command.Released, index uint64) (released int, err error) {
+// A slice whose next owner is lost becomes unowned.
+func (s *Slices) Release(r *command.Released, fleet Fleet, index uint64) (released int, err error) {
 	if len(r.Starts) != len(r.Epochs) {
 		return 0, errors.WithType(errors.Errorf("service %s: release with %d starts and %d epochs",
 			s.service, len(r.Starts), len(r.Epochs)), ErrInvalid)
@@ -58,7 +59,11 @@
 		if e.State != table.SliceReleasing || e.Owner != r.Backend || e.Epoch != r.Epochs[k] {
 			continue
 		}
-		s.grant(e, e.Next, index)
+		to := e.Next
+		if !s.alive(fleet, to) {
+			to = ""
+		}
+		s.grant(e, to, index)
 		released++
 	}
 	if released == 0 {
@@ -70,12 +75,17 @@
 
 // Grant completes moves to a server that were released by their old owners. A
 // slice that does not move there, or has another epoch, is left alone; when none
-// fits, the error is ErrStale.
-func (s *Slices) Grant(g *command.Granted, index uint64) (granted int, err error) {
+// fits, or the server is lost, the error is ErrStale.
+func (s *Slices) Grant(g *command.Granted, fleet Fleet, index uint64) (granted int, err error) {
 	if len(g.Starts) != len(g.Epochs) {
 		return 0, errors.WithType(errors.Errorf("service %s: grant with %d starts and %d epochs",
 			s.service, len(g.Starts), len(g.Epochs)), ErrInvalid)
 	}
+	if !s.alive(fleet, g.Backend) {
+		// The next process of that name would hold the keys under this epoch.
+		return 0, errors.WithType(errors.Errorf("service %s: backend server %s was lost before %d slices were granted to it",
+			s.service, g.Backend, len(g.Starts)), ErrStale)
+	}
 	for k, start := range g.Starts {
 		i, ok := s.find(start)
 		if !ok {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -137,12 +137,17 @@
 	}
 }
 
+// alive reports whether a server may still hold a lease.
+func (s *Slices) alive(fleet Fleet, backend string) bool {
+	return backend != "" && fleet.Alive(table.BackendRef{Service: s.service, Name: backend})
+}
+
 func (s *Slices) settle(e *table.Slice, want placement.Slice, fleet Fleet, index uint64) {
 	if e.Standby != want.Standby {
 		e.Standby = want.Standby
 		s.mark(e)
 	}
-	alive := e.Owner != "" && fleet.Alive(table.BackendRef{Service: s.service, Name: e.Owner})
+	alive := s.alive(fleet, e.Owner)
 	switch {
 	case e.State == table.SliceReleasing && alive:
 		if e.Next != want.Owner {
@@ -173,7 +178,7 @@
 		if e.State == table.SliceReleasing {
 			target = e.Next
 		}
-		lost := e.Owner != "" && !available[e.Owner] && !fleet.Alive(table.BackendRef{Service: s.service, Name: e.Owner})
+		lost := e.Owner != "" && !available[e.Owner] && !s.alive(fleet, e.Owner)
 		switch {
 		case (lost || e.State == table.SliceReleasing) && !available[target]:
 			s.Reassign(fleet, index)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -71,7 +72,7 @@
 	is.Equal(s.list[0].State, table.SliceReleasing)
 	is.Equal(s.list[0].Next, "a")
 	release := &command.Released{Service: "s", Backend: "a", Starts: []uint64{0}, Epochs: []uint64{1}}
-	_, err = s.Release(release, 5)
+	_, err = s.Release(release, servers{three[0]}, 5)
 	is.NoErr(err)
 	is.Equal(s.list[0], table.Slice{Owner: "a", Epoch: 5, State: table.SliceOwned})
 	s.Promote(servers{}, 6) // nobody is left
@@ -79,3 +80,23 @@
 	s.Repair(three, 7) // served again as soon as somebody is back
 	is.True(s.list[0].State == table.SliceOwned && s.list[0].Epoch == 7 && s.list[0].Standby != "")
 }
+
+// Guards against keys that are granted to a server which was lost after the grant
+// was decided: its next process would hold them under an epoch that is not its own.
+func TestLostServerIsGrantedNothing(t *testing.T) {
+	is := is.New(t)
+	s := New("s", 1).WithoutStandbys()
+	s.Reassign(three, 1)
+	is.Equal(s.list[0].Owner, "a")
+	_, err := s.Move([]command.SliceMove{{Start: 0, Epoch: 1, To: "b"}}, three, 2)
+	is.NoErr(err)
+	withoutB := servers{three[0], three[2]}
+	_, err = s.Grant(&command.Granted{Service: "s", Backend: "b", Starts: []uint64{0}, Epochs: []uint64{1}}, withoutB, 3)
+	is.True(errors.Is(err, ErrStale))
+	is.Equal(s.list[0].Owner, "a")
+	_, err = s.Release(&command.Released{Service: "s", Backend: "a", Starts: []uint64{0}, Epochs: []uint64{1}}, withoutB, 4)
+	is.NoErr(err)
+	is.Equal(s.list[0], table.Slice{Epoch: 1, State: table.SliceUnowned})
+	s.Repair(withoutB, 5)
+	is.Equal(s.list[0].Epoch, uint64(5))
+}
--- /dev/null
+++ b/internal/ownership/seed_test.go
@@ -0,0 +1,3 @@
+package ownership
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
