--- /dev/null
+++ b/internal/balance/seed_test.go
@@ -0,0 +1,3 @@
+package balance
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- /dev/null
+++ b/internal/coldgate/seed_test.go
@@ -0,0 +1,3 @@
+package coldgate
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- /dev/null
+++ b/internal/items/seed_test.go
@@ -0,0 +1,3 @@
+package items
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- /dev/null
+++ b/internal/limit/seed_test.go
@@ -0,0 +1,3 @@
+package limit
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- /dev/null
+++ b/internal/logstore/seed_test.go
@@ -0,0 +1,3 @@
+package logstore
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- /dev/null
+++ b/internal/permit/seed_test.go
@@ -0,0 +1,3 @@
+package permit
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- /dev/null
+++ b/internal/placement/seed_test.go
@@ -0,0 +1,3 @@
+package placement
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
--- /dev/null
+++ b/internal/table/seed_test.go
@@ -0,0 +1,3 @@
+package table
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
