--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -110,7 +110,7 @@
 	h.peers.Register(wire.MethodPermitAsk, peer.Handle(h.handlePermitAsk))
 	h.peers.Register(wire.MethodPermitDone, peer.Handle(h.handlePermitDone))
 	go func() { _ = h.peers.Serve(h.listeners[listenPeer], h.serverTLS) }() // ends with its listener
-	traffic := h.serveHTTP(listenTraffic, h.gateway, nil)
+	traffic := h.serveOn(listenTraffic, callerListener{Listener: h.limited(listenTraffic), timeouts: h.gateway.CallerTimeouts}, h.gateway)
 	h.serveHTTP(listenReadiness, h.adapter.ReadinessHandler(h.ready), nil)
 	h.serveHTTP(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
 	h.background.Go(func() { h.session.Run(loops) })
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -98,17 +98,27 @@
 // idleTimeout closes kept connections of callers that send nothing.
 const idleTimeout = 2 * time.Minute
 
+// limited returns a listener with the bound on open connections.
+func (p *process) limited(name string) net.Listener {
+	return netutil.LimitListener(p.listeners[name], p.settings.Limits.Connections)
+}
+
 func (p *process) serveHTTP(name string, handler http.Handler, config *tls.Config) *http.Server {
-	var listener net.Listener = netutil.LimitListener(p.listeners[name], p.settings.Limits.Connections)
+	listener := p.limited(name)
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
+	return p.serveOn(name, listener, handler)
+}
+
+func (p *process) serveOn(name string, listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    p.settings.Limits.HeaderBytes,
 		ErrorLog:          zap.NewStdLog(p.logger),
+		ConnState:         noteIdle,
 	}
 	p.servers = append(p.servers, server)
 	go func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -234,6 +234,28 @@
 // lost stay unused, because those may be alive and out of reach.
 func (g *Gateway) burst() float64 { return max(g.cfg.Limits.RetryBurst/float64(max(g.hosts, 1)), 1) }
 
+// connections is this host's share of the connections that a backend server of a
+// service accepts from all hosts together; zero means no bound.
+func (g *Gateway) connections(service string) int {
+	s := g.cfg.Tables().Items().Service(service)
+	if s == nil || s.MaxConnections == 0 {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(s.MaxConnections/max(g.hosts, 1), 1)
+}
+
+// CallerTimeouts returns how long a caller may take to send its headers and how
+// long its connection may stay idle. Zero means that no configuration says it.
+func (g *Gateway) CallerTimeouts() (header, idle time.Duration) {
+	l := g.cfg.Tables().Items().Limits()
+	if l == nil {
+		return 0, 0
+	}
+	return l.HeaderTimeout, l.IdleTimeout
+}
+
 // Loads returns what was served since the last call, for placement.
 func (g *Gateway) Loads() []wire.SliceLoads { return g.loads.take() }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -254,7 +254,8 @@
 func (g *Gateway) send(ctx context.Context, c *call, t target) (*upstream.Response, *verdict.Error) {
 	header := c.header.Clone()
 	req := &upstream.Request{ID: c.ID, Address: t.backend.Address, Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host,
-		Header: header, Length: c.request.ContentLength, Fresh: c.ran > 0}
+		Header: header, Length: c.request.ContentLength, Fresh: c.ran > 0,
+		MaxOpen: g.connections(c.service)}
 	if c.body != nil {
 		req.Body = c.body.reader()
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -81,6 +81,8 @@
 	Length int64
 	// Fresh asks for a new connection.
 	Fresh bool
+	// MaxOpen bounds the open connections to the address; zero means no bound.
+	MaxOpen int
 	// Left is called just before the request is written and sets headers that
 	// depend on the time left; it may be nil. An error keeps the request unsent.
 	Left func(http.Header) *verdict.Error
@@ -101,6 +103,9 @@
 	// written is closed when the writer of the body is done; nil without a body.
 	written  chan struct{}
 	writeErr error
+	// bodyRead is set when the whole body was read from its source, so that only the
+	// end of it may still be on its way to the connection.
+	bodyRead atomic.Bool
 	stray    bool // an answer to another request was passed over
 }
 
@@ -144,6 +149,9 @@
 			return cn, true, nil
 		}
 	}
+	if !p.makeRoom(req.MaxOpen) {
+		return nil, false, errConnections
+	}
 	cn, err = c.dial(ctx, p)
 	if err == nil {
 		c.Opened.Add(1)
@@ -151,6 +159,9 @@
 	return cn, false, err
 }
 
+// errConnections means that this host uses its share of a server's connections.
+var errConnections = errors.New("this host's share of the connections is in use")
+
 // write sends the head, and the body from a goroutine of its own: the answer may
 // come before the whole body is sent. started reports whether any byte was handed
 // to the connection.
@@ -187,7 +198,7 @@
 	bw, req := x.conn.bw, x.req
 	if req.Length < 0 {
 		w := httputil.NewChunkedWriter(bw)
-		if err := copyBody(w, req.Body, -1); err != nil {
+		if err := copyBody(w, x.source(), -1); err != nil {
 			return err
 		}
 		if err := w.Close(); err != nil {
@@ -198,12 +209,30 @@
 		}
 		return bw.Flush()
 	}
-	if err := copyBody(bw, req.Body, req.Length); err != nil {
+	if err := copyBody(bw, x.source(), req.Length); err != nil {
 		return err
 	}
 	return bw.Flush()
 }
 
+// source reads the body of the request and notes its end.
+func (x *exchange) source() io.Reader { return &bodySource{x: x} }
+
+type bodySource struct {
+	x    *exchange
+	read int64
+}
+
+// Read implements io.Reader.
+func (s *bodySource) Read(p []byte) (int, error) {
+	n, err := s.x.req.Body.Read(p)
+	s.read += int64(n)
+	if err == io.EOF || s.read == s.x.req.Length {
+		s.x.bodyRead.Store(true)
+	}
+	return n, err
+}
+
 // copyBuffers serve the copying of bodies.
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
 
@@ -299,14 +328,7 @@
 	}
 	b.closed = true
 	resp, x := b.response, b.response.exchange
-	sent := x.written == nil
-	if x.written != nil {
-		select {
-		case <-x.written:
-			sent = x.writeErr == nil
-		default:
-		}
-	}
+	sent := x.sent()
 	keep := keepFor(resp.Response, x.client.cfg.MaxIdle)
 	if !b.complete || !sent || resp.Close || x.stray || keep <= 0 || x.conn.br.Buffered() > 0 || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		x.abandon()
@@ -320,9 +342,35 @@
 	return nil
 }
 
+// writerWait is how long the end of an exchange waits for the goroutine that has
+// handed the whole body over and is about to say so.
+const writerWait = 250 * time.Millisecond
+
+// sent reports whether the whole request was sent.
+func (x *exchange) sent() bool {
+	if x.written == nil {
+		return true
+	}
+	wait := time.Duration(0)
+	if x.bodyRead.Load() {
+		wait = writerWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-x.written:
+		return x.writeErr == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 func connectFailure(ctx context.Context, err error) *verdict.Error {
 	e := &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable,
 		Reason: verdict.ReasonConnect, Detail: "no connection to the backend server", Cause: err}
+	if errors.Is(err, errConnections) {
+		e.Reason = verdict.ReasonOverloaded // the server can be reached
+	}
 	return withContext(ctx, e)
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// makeRoom closes the oldest idle connection if there are most open ones, and
+// reports whether another one may be opened.
+func (p *pool) makeRoom(most int) bool {
+	if most <= 0 {
+		return true
+	}
+	p.mu.Lock()
+	if p.open < most || len(p.idle) == 0 {
+		defer p.mu.Unlock()
+		return p.open < most
+	}
+	oldest := p.idle[0]
+	p.idle = p.idle[1:]
+	p.mu.Unlock()
+	oldest.discard()
+	return true
+}
+
 // quiet reports whether the connection is open and nothing waits to be read:
 // bytes that arrive while no request is on its way belong to none.
 func (c *conn) quiet() bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/verdict"
@@ -38,6 +39,19 @@
 	return l.Addr().String()
 }
 
+// unserved returns an address that refuses connections. Its socket is bound, so
+// that no other test gets the port.
+func unserved(t *testing.T) string {
+	is := is.New(t)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	is.NoErr(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	is.NoErr(err)
+	return fmt.Sprint("127.0.0.1:", bound.(*unix.SockaddrInet4).Port)
+}
+
 func newClient() *Client {
 	return New(Config{IDHeader: "Id", DialTimeout: time.Second, UserTimeout: time.Second, ProbeIdle: time.Minute, MaxIdle: time.Minute, Clock: clock.Real{}})
 }
@@ -133,12 +147,44 @@
 	}
 }
 
+// Guards against more connections to one server than this host's share, which the
+// server would reset, and against idle ones that keep a share in use.
+func TestConnectionsStayWithinTheShare(t *testing.T) {
+	is := is.New(t)
+	address := backend(t, func(n int, r *bufio.Reader, c net.Conn) {
+		req, err := readRequest(r)
+		if err == nil {
+			answer(c, req.Header.Get("Id"), fmt.Sprint(n))
+			_, _ = r.ReadByte()
+		}
+	})
+	client := newClient()
+	send := func(id string, fresh bool) (*Response, *verdict.Error) {
+		req := request(address, id)
+		req.Fresh, req.MaxOpen = fresh, 2
+		return client.Do(context.Background(), req)
+	}
+	first, failure := send("a", false)
+	is.True(failure == nil)
+	second, failure := send("b", false)
+	is.True(failure == nil)
+	_, failure = send("c", false)
+	is.True(failure != nil)
+	is.Equal(failure.Verdict, verdict.NotRun)
+	is.Equal(failure.Reason, verdict.ReasonOverloaded) // not "connect-failed": the server is not down
+	for _, resp := range []*Response{first, second} {
+		_, err := io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+	}
+	third, failure := send("d", true) // in place of an idle one
+	is.True(failure == nil)
+	is.NoErr(third.Body.Close())
+}
+
 // Guards against a wrong verdict: a request that was written may have run, one that
 // was not has not.
 func TestFailuresSayWhatMayHaveRun(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	is.New(t).NoErr(closed.Close())
 	broken := backend(t, func(_ int, r *bufio.Reader, c net.Conn) { _, _ = readRequest(r) })
 	garbled := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
 		_, _ = readRequest(r)
@@ -155,7 +201,7 @@
 		want    verdict.Verdict
 		reason  verdict.Reason
 	}{
-		"no listener":      {closed.Addr().String(), verdict.NotRun, verdict.ReasonConnect},
+		"no listener":      {unserved(t), verdict.NotRun, verdict.ReasonConnect},
 		"closed unserved":  {broken, verdict.MayHaveRun, verdict.ReasonConnectionLost},
 		"bytes, no answer": {garbled, verdict.MayHaveRun, verdict.ReasonConnectionLost},
 		"foreign answers":  {foreign, verdict.MayHaveRun, verdict.ReasonForeignAnswer},
