--- a/internal/daemon/adminroles.go
+++ b/internal/daemon/adminroles.go
@@ -40,7 +40,7 @@
 	hosts := func() []table.Host {
 		out := h.state.Table().Hosts()
 		for _, address := range h.memberAddresses() {
-			if address != h.settings.Listen.Peer {
+			if address != h.settings.Deployment.PeerAddress {
 				out = append(out, table.Host{Name: address, PeerAddress: address})
 			}
 		}
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -129,7 +129,7 @@
 		OnLeaderChange: h.leaderChanged,
 	}
 	var err error
-	h.replica, err = openReplica(cfg.DataFolder, cfg.Control.Group, cfg.Listen.Peer, config, h.state)
+	h.replica, err = openReplica(cfg.DataFolder, cfg.Control.Group, cfg.Deployment.PeerAddress, config, h.state)
 	if errors.Is(err, logstore.ErrDamaged) {
 		// What a damaged folder holds cannot be trusted, as if the disk were lost: the
 		// group admits the replica again as a new one.
@@ -138,7 +138,7 @@
 			return errors.Annotate(err, "emptying the damaged data folder")
 		}
 		h.state = control.NewState(control.ServiceChecker())
-		h.replica, err = openReplica(cfg.DataFolder, cfg.Control.Group, cfg.Listen.Peer, config, h.state)
+		h.replica, err = openReplica(cfg.DataFolder, cfg.Control.Group, cfg.Deployment.PeerAddress, config, h.state)
 	}
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -65,7 +65,7 @@
 	}
 	h.session = session.New(session.Config{
 		// Requests are not relayed; the relay address only has to be one of this host.
-		Host: command.HostJoined{Host: cfg.Host, DataCentre: cfg.DataCentre, PeerAddress: l.Peer, RelayAddress: l.Traffic, AdminAddress: l.Admin},
+		Host: command.HostJoined{Host: cfg.Host, DataCentre: cfg.DataCentre, PeerAddress: cfg.Deployment.PeerAddress, RelayAddress: l.Traffic, AdminAddress: l.Admin},
 
 		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, WatchCaller: h.logClient, Clock: h.clock, Logger: logger,
 		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.SessionTTL / callsPerSession, WatchPoll: cfg.Timing.WatchPoll,
--- a/internal/daemon/formation.go
+++ b/internal/daemon/formation.go
@@ -97,7 +97,7 @@
 	}
 	slices.Sort(out)
 	out = slices.Compact(out)
-	return slices.DeleteFunc(out, func(a string) bool { return a == h.settings.Listen.Peer })
+	return slices.DeleteFunc(out, func(a string) bool { return a == h.settings.Deployment.PeerAddress })
 }
 
 // greet says hello to all addresses at once and returns the answers by address,
--- a/internal/daemon/seeds.go
+++ b/internal/daemon/seeds.go
@@ -11,7 +11,7 @@
 func seedAddresses(cfg *settings.Settings) []string {
 	port := strconv.Itoa(cfg.Deployment.SeedPeerPort)
 	if cfg.Deployment.SeedPeerPort == 0 {
-		port = portOf(cfg.Listen.Peer)
+		port = portOf(cfg.Deployment.PeerAddress)
 	}
 	var out []string
 	for _, seed := range cfg.Deployment.Seeds {
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -24,6 +24,9 @@
 	// SeedPeerPort replaces the port of seeds that are given with another listener
 	// of the host than its peer listener. Default: the port of listen.peer.
 	SeedPeerPort int `yaml:"seed_peer_port"`
+	// PeerAddress is where other hosts reach this one if a forwarder stands in front
+	// of its peer listener. Default: listen.peer.
+	PeerAddress string `yaml:"peer_address"`
 	// Form lets the control hosts among the seeds form a new group when no replica
 	// has a log. It must be true only while a deployment starts for the first time.
 	Form bool `yaml:"form"`
@@ -65,7 +68,10 @@
 }
 
 // provision fills in what depends on other settings.
-func (d *Deployment) provision() {
+func (d *Deployment) provision(listen Listen) {
+	if d.PeerAddress == "" {
+		d.PeerAddress = listen.Peer
+	}
 	if d.Hold == 0 {
 		d.Hold = min(d.Heartbeat+holdSlack, d.MaxHold)
 	}
@@ -98,6 +104,7 @@
 	for _, l := range needed {
 		requireAddress(d, "listen."+l.name, l.address)
 	}
+	requireAddress(d, "deployment.peer_address", v.PeerAddress)
 	d.Require(len(v.Seeds) > 0, "deployment.seeds", "must name at least one control host")
 	for i, seed := range v.Seeds {
 		requireAddress(d, fmt.Sprintf("deployment.seeds[%d]", i), seed)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -72,7 +72,7 @@
 	if !ok {
 		return nil, d
 	}
-	s.Deployment.provision()
+	s.Deployment.provision(s.Listen)
 	validate(s, d)
 	return s, d
 }
