--- a/internal/daemon/formation.go
+++ b/internal/daemon/formation.go
@@ -72,10 +72,7 @@
 	if leader != "" && !slices.Contains(h.knownAddresses(own, seeds), leader) {
 		h.greet(ctx, own, []string{leader})
 	}
-	if !h.settings.Deployment.Form {
-		return
-	}
-	founders := membership.Founders(own, seeds, heard)
+	founders := membership.Founders(own, seeds, heard, h.settings.Deployment.Form)
 	if founders == nil {
 		return
 	}
--- a/internal/membership/form.go
+++ b/internal/membership/form.go
@@ -18,8 +18,9 @@
 // Founders returns the members with which this replica founds a group, or nil.
 // All founders compute the same list: the replicas of all seeds, none of which
 // holds a log of another group. A founder that finds the others ahead of it joins
-// them, as long as it is in their list.
-func Founders(own Hello, seeds []string, heard map[string]Hello) []replication.ReplicaID {
+// them, as long as it is in their list. Without form it does only that: it was named
+// as a founder and restarted before it had its log.
+func Founders(own Hello, seeds []string, heard map[string]Hello, form bool) []replication.ReplicaID {
 	if !own.Empty || !slices.Contains(seeds, own.Replica.Host()) {
 		return nil
 	}
@@ -35,6 +36,7 @@
 		founders = append(founders, hello.Replica)
 	}
 	slices.Sort(founders)
+	founded := form
 	for _, hello := range heard {
 		if len(hello.Members) == 0 {
 			continue
@@ -44,6 +46,10 @@
 		if !slices.Equal(members, founders) {
 			return nil
 		}
+		founded = true
+	}
+	if !founded {
+		return nil
 	}
 	return founders
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -34,10 +34,18 @@
 		"an answer of another replica":   {empty("a"), map[string]Hello{"b": empty("c"), "c": empty("c")}, 0},
 		"a group that changed meanwhile": {empty("a"), map[string]Hello{"b": foreign, "c": founded}, 0},
 	} {
-		got := Founders(c.own, seeds, c.heard)
+		got := Founders(c.own, seeds, c.heard, true)
 		if len(got) != c.want {
 			t.Errorf("%s: %v", name, got)
 		}
+		if name == "all empty" {
+			c.want = 0
+		}
+		// Guards against a founder that is restarted before it has its log, without leave
+		// to form a group, and then never takes part: the group has no majority.
+		if got := Founders(c.own, seeds, c.heard, false); len(got) != c.want {
+			t.Errorf("%s, without leave to form a group: %v", name, got)
+		}
 	}
 }
 
