--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -124,7 +124,7 @@
 			return nil, refusal
 		}
 	}
-	x.stop = context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	x.stop = context.AfterFunc(ctx, cn.reset)
 	started, err := x.write()
 	if err != nil {
 		x.abandon()
@@ -296,10 +296,11 @@
 	return out
 }
 
-// abandon closes the connection. A read of the request body may still be pending;
+// abandon resets the connection. A read of the request body may still be pending;
 // what it yields is not sent.
 func (x *exchange) abandon() {
 	x.stop()
+	x.conn.unlinger()
 	x.conn.discard()
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -104,6 +104,20 @@
 	return err == nil && quiet
 }
 
+// unlinger makes a close drop what was not sent yet: on a slow link, a request may
+// still be in the send queue when its caller leaves, and is not to arrive any more.
+func (c *conn) unlinger() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the close that follows works all the same
+	}
+}
+
+// reset closes the connection under an exchange that is over for its caller.
+func (c *conn) reset() {
+	c.unlinger()
+	_ = c.Conn.Close()
+}
+
 func (c *conn) discard() {
 	_ = c.Conn.Close()
 	c.pool.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -293,3 +294,27 @@
 	is.Equal(failure.Verdict, verdict.MayHaveRun)
 	<-gone
 }
+
+// A slow link: a request is still in the send queue when its caller leaves. Guards
+// against bytes that arrive, and a request that runs, long after that.
+func TestCancellationDropsWhatIsNotSent(t *testing.T) {
+	is := is.New(t)
+	begun, cancelled, ended := make(chan struct{}), make(chan struct{}), make(chan error)
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		close(begun)
+		<-cancelled
+		_, err := io.Copy(io.Discard, r)
+		ended <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	req := request(address, "a")
+	req.Method, req.Body, req.Length = "POST", strings.NewReader(strings.Repeat("scan ", 10_000)), 50_000
+	_, failure := newClient().Do(ctx, req)
+	is.Equal(failure.Reason, verdict.ReasonCancelled)
+	close(cancelled)
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
