--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -30,6 +30,10 @@
 	// server is used. The rest is for the way of the news and of the requests.
 	drainTimeUsed    = 0.3
 	evacuateTimeUsed = 0.5
+	// bodyShare is the part of the link that request bodies may take. Answers, asks for
+	// permits and news of the control group share the rest.
+	bodyShare    = 0.6
+	bytesPerMbit = 1e6 / 8
 )
 
 const (
@@ -76,8 +80,9 @@
 		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Permits: h,
 		Dialect: adapter, Clock: h.clock, Logger: logger,
 		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * float64(d.RetrySlack),
-			LeaveFor:    time.Duration(drainTimeUsed * float64(d.DrainTime)),
-			EvacuateFor: time.Duration(evacuateTimeUsed * float64(d.EvacuateTime))},
+			LeaveFor:           time.Duration(drainTimeUsed * float64(d.DrainTime)),
+			EvacuateFor:        time.Duration(evacuateTimeUsed * float64(d.EvacuateTime)),
+			BodyBytesPerSecond: bodyShare * bytesPerMbit * cfg.Limits.LinkMbps},
 	})
 	return h, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/agatestep/agatestep/internal/balance"
 	"github.com/agatestep/agatestep/internal/clock"
@@ -47,6 +48,9 @@
 	LeaveFor time.Duration
 	// EvacuateFor is the same after its data centre was taken out.
 	EvacuateFor time.Duration
+	// BodyBytesPerSecond bounds what bodies take of the host's link; zero means no
+	// bound.
+	BodyBytesPerSecond float64
 }
 
 // Timeouts towards backend servers.
@@ -112,10 +116,17 @@
 		changed: make(chan struct{}), loads: newLoads(),
 	}
 	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, UserTimeout: userTimeout,
-		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock})
+		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
 	return g
 }
 
+func bodyRate(bytesPerSecond float64) *rate.Limiter {
+	if bytesPerSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(bytesPerSecond), upstream.BodyChunk)
+}
+
 // Ready reports whether this host can serve callers.
 func (g *Gateway) Ready() bool {
 	return !g.stopping.Load() && !g.cfg.Tables().Items().Empty()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,6 +136,9 @@
 	// QueuePerBackend caps the requests that wait for one backend server. 0
 	// refuses every request that cannot run at once. Default 64.
 	QueuePerBackend int `yaml:"queue_per_backend"`
+	// LinkMbps is the bandwidth of the host's link in megabits a second, of which
+	// request bodies get a part. 0 means that it is no bound. Default 0.
+	LinkMbps float64 `yaml:"link_mbps"`
 }
 
 // Shutdown bounds a planned stop.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -165,6 +165,7 @@
 	yamldoc.RequireRange(d, "limits.connections", l.Connections, 1, 1_000_000)
 	yamldoc.RequireRange(d, "limits.in_flight", l.InFlight, 1, 1_000_000)
 	yamldoc.RequireRange(d, "limits.queue_per_backend", l.QueuePerBackend, 0, 100_000)
+	d.Require(l.LinkMbps >= 0, "limits.link_mbps", "is %v; must not be negative", l.LinkMbps)
 	yamldoc.RequireRange(d, "shutdown.delay", s.Shutdown.Delay, 0, time.Minute)
 	yamldoc.RequireRange(d, "shutdown.timeout", s.Shutdown.Timeout, time.Second, time.Hour)
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
@@ -29,8 +31,14 @@
 	// MaxIdle is how long an idle connection is kept.
 	MaxIdle time.Duration
 	Clock   clock.Clock
+	// BodyRate bounds the bytes of request bodies that are sent in a second, so that
+	// large ones leave room for small messages on a slow link. Nil means no bound.
+	BodyRate *rate.Limiter
 }
 
+// BodyChunk is the largest part of a body that is sent at once under a BodyRate.
+const BodyChunk = 4 << 10
+
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
 	cfg Config
@@ -99,6 +107,7 @@
 	client *Client
 	conn   *conn
 	req    *Request
+	ctx    context.Context
 	stop   func() bool // ends the watch of the context
 	// written is closed when the writer of the body is done; nil without a body.
 	written  chan struct{}
@@ -117,7 +126,7 @@
 	if err != nil {
 		return nil, connectFailure(ctx, err)
 	}
-	x := &exchange{client: c, conn: cn, req: req}
+	x := &exchange{client: c, conn: cn, req: req, ctx: ctx}
 	if req.Left != nil {
 		if refusal := req.Left(req.Header); refusal != nil {
 			cn.release(c.cfg.Clock.Now(), time.Until(cn.until))
@@ -223,13 +232,22 @@
 	read int64
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. What it returns is sent next, so it waits for the rate.
 func (s *bodySource) Read(p []byte) (int, error) {
+	limit := s.x.client.cfg.BodyRate
+	if limit != nil {
+		p = p[:min(len(p), BodyChunk)]
+	}
 	n, err := s.x.req.Body.Read(p)
 	s.read += int64(n)
 	if err == io.EOF || s.read == s.x.req.Length {
 		s.x.bodyRead.Store(true)
 	}
+	if limit != nil && n > 0 {
+		if waited := limit.WaitN(s.x.ctx, n); waited != nil {
+			return 0, waited // the request is over
+		}
+	}
 	return n, err
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
 
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/verdict"
@@ -321,3 +322,31 @@
 	close(cancelled)
 	is.True(errors.Is(<-ended, syscall.ECONNRESET))
 }
+
+// Uploads on a slow link: guards against bodies that fill it, so that small messages
+// of the same host wait for hundreds of milliseconds.
+func TestBodiesKeepToTheirRate(t *testing.T) {
+	is := is.New(t)
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, req.Header.Get("Id"), "read")
+		}
+	})
+	client := newClient()
+	const perSecond, size = 100 << 10, 20 << 10
+	client.cfg.BodyRate = rate.NewLimiter(perSecond, BodyChunk)
+	began := time.Now()
+	for range 2 {
+		req := request(address, "a")
+		req.Method, req.Body, req.Length = "POST", strings.NewReader(strings.Repeat("x", size)), size
+		got, failure := get(t, client, req)
+		is.True(failure == nil)
+		is.Equal(got, "read")
+	}
+	least := time.Duration(float64(2*size-BodyChunk) / perSecond * float64(time.Second))
+	is.True(time.Since(began) >= least)
+}
