--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -93,9 +93,11 @@
 		reply, err := g.askOnce(ctx, b, request, timeout)
 		switch {
 		case ctx.Err() != nil:
-			go g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
+			g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
 			return pass{refusal: ended(ctx)}, true
 		case err != nil || reply.State == wire.PermitUnable:
+			// The dispatcher may have let the request in, and the answer is late.
+			g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
 			g.markUnable(b.Dispatcher)
 			g.cfg.Logger.Info("dispatcher does not answer", append(c.fields(), zap.String("backend", b.Name),
 				zap.String("dispatcher", b.Dispatcher), zap.String("reason", reply.Reason), logging.Error(err))...)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -26,6 +26,9 @@
 	// sends counts the times that the request was written to a backend server, and
 	// ran those of them that may have run.
 	sends, ran int
+	// admitted and served are the times that the call waited to be let in and that its
+	// attempts took.
+	admitted, served time.Duration
 	tried      map[serverKey]bool
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -326,8 +326,9 @@
 	is.Equal(w.asks, 2) // the second refusal came from what the host remembers
 }
 
-// Guards against an outage of all keys of a server when its dispatcher is lost, and
-// against a cold server that gets requests nobody counts.
+// Guards against an outage of all keys of a server when its dispatcher is lost,
+// against a cold server that gets requests nobody counts, and against permits of asks
+// whose answers are late: each would keep a slot idle for the time of its request.
 func TestLostDispatcher(t *testing.T) {
 	is, w := is.New(t), newWorld(t)
 	w.configure()
@@ -336,6 +337,7 @@
 	w.lost = true
 	status, _, _ := w.ask("POST", "/book/x", strings.NewReader("order"))
 	is.Equal(status, http.StatusOK)
+	is.Equal(len(w.ends), 1) // the ask is taken back: it may have been granted
 	w.change(func(b *table.Builder) {
 		b.PutBackend(table.Backend{Service: "desk", Name: "b1", Address: s.Listener.Addr().String(), Slots: 4, Cold: true, Dispatcher: "h3"})
 	})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -135,8 +135,9 @@
 		outcome = "failed"
 	}
 	g.count(c, outcome, took)
-	if err != nil || status >= http.StatusInternalServerError || c.sends > 1 {
-		g.cfg.Logger.Info("request "+outcome, append(c.fields(), zap.Int("status", status), zap.Duration("took", took), logging.Error(err))...)
+	if err != nil || status >= http.StatusInternalServerError || c.sends > 1 || took > c.match.Target {
+		g.cfg.Logger.Info("request "+outcome, append(c.fields(), zap.Int("status", status), zap.Duration("took", took), zap.Duration("target", c.match.Target),
+			zap.Duration("admitted_after", c.admitted), zap.Duration("served_in", c.served), logging.Error(err))...)
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -68,7 +68,9 @@
 			}
 			continue
 		}
+		asked := g.cfg.Clock.Now()
 		p := g.admit(ctx, c, target)
+		c.admitted += g.cfg.Clock.Now().Sub(asked)
 		switch {
 		case p.refusal != nil:
 			return fallback, failureUnless(fallback, pickFailure(last, p.refusal)), spread(p.delay)
@@ -226,6 +228,7 @@
 	s.backlog.Sent()
 	s.mu.Unlock()
 	began := g.cfg.Clock.Now()
+	defer func() { c.served += g.cfg.Clock.Now().Sub(began) }()
 	resp, failure := g.send(ctx, c, t)
 	if failure == nil {
 		defer s.done()
