--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -120,6 +120,7 @@
 	h.serveHTTP(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
 	h.background.Go(func() { h.session.Run(loops) })
 	h.background.Go(func() { h.cleanLoop(loops) })
+	h.background.Go(func() { h.connectLoop(loops) })
 	h.logger.Info("started", zap.String("host", h.settings.Host), zap.String("data_centre", h.settings.DataCentre), zap.String("role", settings.RoleEntry))
 	h.record("started", h.settings.Host, "")
 	<-ctx.Done()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -87,6 +87,20 @@
 	return nil
 }
 
+// Connect opens a connection to an address if there is none.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	_, err := c.conn(ctx, address)
+	return errors.Trace(err)
+}
+
+// Connected reports whether there is a connection to an address.
+func (c *Client) Connected(address string) bool {
+	c.mu.Lock()
+	known, ok := c.conns[address]
+	c.mu.Unlock()
+	return ok && !disconnected(known)
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
