--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/agatestep/agatestep/internal/items"
+	"github.com/agatestep/agatestep/internal/pack"
 )
 
 // Command is a union: exactly one field is set.
@@ -232,11 +233,30 @@
 // Encode returns the log form of c.
 func (c *Command) Encode() ([]byte, error) {
 	data, err := msgpack.Marshal(c)
-	return data, errors.Annotate(err, "encoding command")
+	if err != nil || len(data) < packFrom {
+		return data, errors.Annotate(err, "encoding command")
+	}
+	data, err = pack.Pack(data)
+	return data, errors.Annotate(err, "packing command")
 }
 
+// packFrom is the size from which commands are packed: a configuration of a thousand
+// routes has some 700 KB, which the leader sends to each replica.
+const packFrom = 4 << 10
+
+// firstPlain is the lowest first byte of a command that is not packed: commands are
+// msgpack maps.
+const firstPlain = 0x80
+
 // Decode reads the log form of a command.
 func Decode(data []byte) (*Command, error) {
+	if len(data) > 0 && data[0] < firstPlain {
+		unpacked, err := pack.Unpack(data)
+		if err != nil {
+			return nil, errors.Annotate(err, "decoding command")
+		}
+		data = unpacked
+	}
 	var c Command
 	if err := msgpack.Unmarshal(data, &c); err != nil {
 		return nil, errors.Annotate(err, "decoding command")
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/agatestep/agatestep/internal/pack"
 	"github.com/agatestep/agatestep/internal/table"
 )
 
@@ -24,13 +25,21 @@
 	slices   int
 	revision uint64
 	answers  map[uint64][]byte // encoded deltas to revision, by base
+	large    map[uint64][]byte // encoded large deltas, by base
 
 	encoding   sync.Mutex // held while a snapshot is encoded, so that it is done once
 	snapshot   []byte
 	snapshotAt uint64 // revision of snapshot
 }
 
-func newHistory() *history { return &history{answers: map[uint64][]byte{}} }
+func newHistory() *history { return &history{answers: map[uint64][]byte{}, large: map[uint64][]byte{}} }
+
+// largeChanges is the number of changes from which a delta is passed on alone. Its
+// encoding is made once for all hosts; as part of a sum of deltas it would be
+// encoded again for each host and each revision that follows.
+const largeChanges = 200
+
+func isLarge(d *table.Delta) bool { return len(d.Items)+d.SliceCount() >= largeChanges }
 
 // add records the delta that led to the next revision.
 func (h *history) add(d *table.Delta) {
@@ -43,6 +52,9 @@
 		h.slices -= h.deltas[drop].SliceCount()
 		drop++
 	}
+	for _, d := range h.deltas[:drop] {
+		delete(h.large, d.Base)
+	}
 	clear(h.deltas[:drop]) // the array is reallocated by a later append only
 	h.deltas = h.deltas[drop:]
 	h.renew(d.Revision)
@@ -54,6 +66,7 @@
 	defer h.mu.Unlock()
 	h.deltas, h.slices = nil, 0
 	h.snapshot, h.snapshotAt = nil, 0
+	clear(h.large)
 	h.renew(revision)
 }
 
@@ -63,13 +76,13 @@
 }
 
 // changes returns the packed way from revision since to t, the current table, or
-// to a somewhat older one from which a delta leads on.
+// to a somewhat older one from which a delta leads on. A large delta comes alone.
 func (h *history) changes(since uint64, t *table.Table) (delta, snapshot []byte, revision uint64) {
 	if since >= t.Revision() {
 		return nil, nil, t.Revision()
 	}
-	if delta := h.delta(since, t.Revision()); delta != nil {
-		return delta, nil, t.Revision()
+	if delta, to := h.delta(since, t.Revision()); delta != nil {
+		return delta, nil, to
 	}
 	h.encoding.Lock()
 	defer h.encoding.Unlock()
@@ -78,7 +91,7 @@
 	}
 	snapshot, err := t.Snapshot()
 	if err == nil {
-		snapshot, err = table.Pack(snapshot)
+		snapshot, err = pack.Pack(snapshot)
 	}
 	if err != nil {
 		return nil, nil, since
@@ -110,35 +123,86 @@
 	return nil
 }
 
-// delta returns the encoded sum of the deltas from since to a revision, or nil.
-func (h *history) delta(since, to uint64) []byte {
+// delta returns the encoded sum of the deltas from since to a revision, or nil. It
+// ends before a large delta, or after one that it begins with.
+func (h *history) delta(since, to uint64) (encoded []byte, end uint64) {
 	h.mu.Lock()
-	if h.revision == to && h.answers[since] != nil {
+	if known := h.large[since]; known != nil {
 		defer h.mu.Unlock()
-		return h.answers[since]
+		return known, h.from(since)[0].Revision
 	}
 	parts := append([]*table.Delta(nil), h.from(since)...)
-	h.mu.Unlock()
+	parts, alone := upToLarge(parts, to)
 	if len(parts) == 0 {
-		return nil
+		h.mu.Unlock()
+		return nil, 0
+	}
+	end = parts[len(parts)-1].Revision
+	if h.revision == end && h.answers[since] != nil {
+		defer h.mu.Unlock()
+		return h.answers[since], end
+	}
+	h.mu.Unlock()
+	if alone {
+		return h.encodeLarge(parts[0]), end
 	}
+	encoded = encodeSum(since, parts)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.revision == end && encoded != nil {
+		h.answers[since] = encoded
+	}
+	return encoded, end
+}
+
+// upToLarge returns the deltas up to a revision that are passed on together. alone
+// is set if that is one large delta.
+func upToLarge(deltas []*table.Delta, to uint64) (parts []*table.Delta, alone bool) {
+	for i, d := range deltas {
+		switch {
+		case d.Revision > to:
+			return deltas[:i], false
+		case isLarge(d) && i == 0:
+			return deltas[:1], true
+		case isLarge(d):
+			return deltas[:i], false
+		}
+	}
+	return deltas, false
+}
+
+// encodeLarge encodes a large delta once.
+func (h *history) encodeLarge(d *table.Delta) []byte {
+	h.encoding.Lock()
+	defer h.encoding.Unlock()
+	h.mu.Lock()
+	known := h.large[d.Base]
+	h.mu.Unlock()
+	if known != nil {
+		return known
+	}
+	encoded := encodeSum(d.Base, []*table.Delta{d})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if encoded != nil && len(h.from(d.Base)) > 0 {
+		h.large[d.Base] = encoded
+	}
+	return encoded
+}
+
+// encodeSum returns the packed sum of deltas, or nil if it cannot be encoded; the
+// host gets a snapshot instead.
+func encodeSum(since uint64, parts []*table.Delta) []byte {
 	b := table.NewBuilder(since)
 	for _, d := range parts {
-		if d.Revision <= to {
-			b.Add(d)
-		}
+		b.Add(d)
 	}
-	encoded, err := b.Delta(to).Encode()
+	encoded, err := b.Delta(parts[len(parts)-1].Revision).Encode()
 	if err == nil {
-		encoded, err = table.Pack(encoded)
+		encoded, err = pack.Pack(encoded)
 	}
 	if err != nil {
-		return nil // the host gets a snapshot instead
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.revision == to {
-		h.answers[since] = encoded
+		return nil
 	}
 	return encoded
 }
--- a/internal/control/items.go
+++ b/internal/control/items.go
@@ -16,6 +16,8 @@
 // 4 KiB holds what each of two servers is told. Services with more servers are cut.
 const declaredSlices = 256
 
+const noHigherVersion = "no item has a higher version"
+
 // declared is a service that exists because an item names it.
 type declared struct {
 	file     *service.File
@@ -40,7 +42,7 @@
 	}
 	next, changed := current.Apply(p.Items)
 	if len(changed) == 0 {
-		return &command.Result{Code: command.ResultOK, Detail: "no item has a higher version", Revision: index}
+		return &command.Result{Code: command.ResultOK, Detail: noHigherVersion, Revision: index}
 	}
 	s.items.Store(next)
 	s.patched = changed
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -137,6 +137,8 @@
 	again    bool      // the next decision is due at once
 	wake     chan struct{}
 	election singleflight.Group
+	// proposals are the commands of operators that are on their way.
+	proposals singleflight.Group
 	// orderly is when a dispatcher last began to give its role up in an orderly
 	// way; leases that it granted before may go on for a while.
 	orderly time.Time
--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strings"
@@ -10,6 +11,8 @@
 	"github.com/matryer/is"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/items"
+	"github.com/agatestep/agatestep/internal/pack"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -229,7 +232,7 @@
 	}
 	is.True(g.Watch(ctx, wire.TableWatch{Revision: since}).Delta != nil)
 	beyond := g.Watch(ctx, wire.TableWatch{Revision: since - 1})
-	encoded, err := table.Unpack(beyond.Snapshot)
+	encoded, err := pack.Unpack(beyond.Snapshot)
 	is.NoErr(err)
 	got, err := table.DecodeSnapshot(encoded)
 	is.True(err == nil && beyond.Delta == nil && got.Revision() == g.state.Table().Revision())
@@ -239,6 +242,85 @@
 	is.True(ahead.Delta == nil && ahead.Snapshot == nil)
 }
 
+// A configuration of a thousand routes while servers come and go: guards against a
+// leader that encodes it again for each host and each revision, which took more
+// processor time than the leader has, and against hosts that end with another table.
+func TestLargeChangeIsEncodedOnce(t *testing.T) {
+	is, s := is.New(t), NewState(Checker{})
+	at := uint64(0)
+	apply := func(c command.Command) {
+		at++
+		data, err := c.Encode()
+		is.NoErr(err)
+		s.Apply(at, data)
+	}
+	apply(command.Command{PatchItems: &command.PatchItems{Items: deskItems(1)}})
+	behind, near := table.Empty(), s.Table()
+	many := deskItems(2)
+	for i := range 2 * largeChanges {
+		many = append(many, items.Item{Key: items.Key{Kind: items.KindRoute, Name: fmt.Sprint("r", i)}, Version: 2,
+			Route: &items.Route{Host: "a", PathPrefix: fmt.Sprint("/", i, "/"), Timeout: time.Second, Shares: []items.Share{{Service: "desk", Weight: 1}}}})
+	}
+	apply(command.Command{PatchItems: &command.PatchItems{Items: many}})
+	var large [][]byte
+	follow := func(t *table.Table) *table.Table {
+		for t.Revision() < at {
+			delta, _, to := s.Changes(t.Revision())
+			if t.Revision() == near.Revision() {
+				large = append(large, delta)
+			}
+			encoded, err := pack.Unpack(delta)
+			is.NoErr(err)
+			d, err := table.DecodeDelta(encoded)
+			is.NoErr(err)
+			t, err = t.Apply(d)
+			is.NoErr(err)
+			is.Equal(t.Revision(), to)
+		}
+		return t
+	}
+	for i := range 3 {
+		apply(command.Command{BackendReported: &command.BackendReported{Service: "desk", Backend: fmt.Sprint("b", i), DataCentre: "dc1",
+			Address: fmt.Sprintf("10.0.0.%d:80", i), Slots: 1}})
+		want, err := s.Table().Snapshot()
+		is.NoErr(err)
+		for _, host := range []*table.Table{behind, near} {
+			got, err := follow(host).Snapshot()
+			is.NoErr(err)
+			is.True(bytes.Equal(got, want))
+		}
+	}
+	is.Equal(len(large), 6)
+	for _, other := range large {
+		is.True(&other[0] == &large[0][0])
+	}
+}
+
+// Guards against a patch that is sent again and again and takes its way through the
+// log each time, and against an answer to one that is new or invalid.
+func TestPatchThatIsHeldNeedsNoLog(t *testing.T) {
+	is, g := is.New(t), newGroup()
+	propose := func(list []items.Item) wire.ProposalReply {
+		c := command.Command{PatchItems: &command.PatchItems{Items: list}}
+		data, err := c.Encode()
+		is.NoErr(err)
+		return g.Leader.Propose(ctx, wire.Proposal{Command: data})
+	}
+	is.Equal(propose(deskItems(2)).Result.Code, command.ResultOK)
+	index := g.index
+	for _, version := range []uint64{2, 1} {
+		reply := propose(deskItems(version))
+		is.Equal(reply.Status, wire.ProposalApplied)
+		is.Equal(reply.Result.Code, command.ResultOK)
+	}
+	is.Equal(g.index, index)
+	invalid := deskItems(1)
+	invalid[0].Service = &items.Service{ColdRate: -1}
+	is.True(propose(invalid).Result.Code != command.ResultOK)
+	is.Equal(propose(deskItems(3)).Result.Code, command.ResultOK)
+	is.True(g.index > index)
+}
+
 // settle lets time pass in which all hosts renew, one of them reports 10 requests
 // per slice and 300 more per hot key, each of 1 ms or of 10 ms on the server slow,
 // and moves are confirmed. It returns the largest number of slices on the move.
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -34,12 +34,17 @@
 // Propose commits a command of a daemon or an operator and, if asked, waits
 // until its revision is in force.
 func (l *Leader) Propose(ctx context.Context, req wire.Proposal) wire.ProposalReply {
-	if c, err := command.Decode(req.Command); err != nil || c.Count() != 1 {
+	c, err := command.Decode(req.Command)
+	if err != nil || c.Count() != 1 {
 		return wire.ProposalReply{Status: wire.ProposalDropped, Reason: "the proposal is not a command"}
-	} else if c.HandedOver != nil {
+	}
+	if c.HandedOver != nil {
 		l.noteOrderly()
 	}
-	_, encoded, err := l.cfg.Proposer.Propose(ctx, req.Command)
+	if reply, done := l.heldAlready(c); done {
+		return reply
+	}
+	encoded, err := l.proposeOnce(ctx, req.Command)
 	if err != nil {
 		return l.failedProposal(err)
 	}
@@ -54,6 +59,43 @@
 	return reply
 }
 
+// heldAlready answers a patch that changes nothing without the log: operators send a
+// patch again until they get an answer, and a large one again and again would keep
+// the log busy. What the state holds is committed, so the answer is true on any
+// replica.
+func (l *Leader) heldAlready(c *command.Command) (reply wire.ProposalReply, done bool) {
+	if c.PatchItems == nil {
+		return reply, false
+	}
+	set := l.cfg.State.Items()
+	if _, changed := set.Apply(c.PatchItems.Items); len(changed) > 0 || len(set.Validate(c.PatchItems.Items)) > 0 {
+		return reply, false
+	}
+	return wire.ProposalReply{Status: wire.ProposalApplied, Leader: l.cfg.Proposer.Status().LeaderHost,
+		Result: &command.Result{Code: command.ResultOK, Detail: noHigherVersion, Revision: l.cfg.State.Table().Revision()}}, true
+}
+
+// proposalTime bounds a proposal that several callers wait for.
+const proposalTime = 10 * time.Second
+
+// proposeOnce proposes a command. Calls with the same command share one proposal
+// while it is on its way.
+func (l *Leader) proposeOnce(ctx context.Context, data []byte) ([]byte, error) {
+	outcome := l.proposals.DoChan(string(data), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposalTime)
+		defer cancel()
+		_, encoded, err := l.cfg.Proposer.Propose(ctx, data)
+		return encoded, err
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err() // the outcome is unknown
+	case o := <-outcome:
+		encoded, _ := o.Val.([]byte)
+		return encoded, o.Err
+	}
+}
+
 // noteOrderly is called before an orderly change of dispatcher is proposed.
 func (l *Leader) noteOrderly() {
 	l.mu.Lock()
@@ -172,7 +214,7 @@
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
 		if delta != nil || snapshot != nil {
-			return wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost}
+			return wire.TableReply{Revision: revision, Current: l.cfg.State.Table().Revision(), Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost}
 		}
 		select {
 		case <-changed:
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/pack"
 	"github.com/agatestep/agatestep/internal/table"
 )
 
@@ -134,7 +135,7 @@
 func follow(t rapid.TB, from *table.Table, s *State) *table.Table {
 	delta, snapshot, revision := s.Changes(from.Revision())
 	unpack := func(packed []byte) []byte {
-		encoded, err := table.Unpack(packed)
+		encoded, err := pack.Unpack(packed)
 		check(t, err == nil, "%v", err)
 		return encoded
 	}
--- a/internal/daemon/controlcalls.go
+++ b/internal/daemon/controlcalls.go
@@ -23,6 +23,11 @@
 	// forwardTimeout bounds one call to the leader, so that another one can be found
 	// within callTime.
 	forwardTimeout = 350 * time.Millisecond
+	// largeCommand is the size from which a command gets largeCallTime for one way to
+	// the leader: sent again after forwardTimeout, it would arrive several times, and
+	// operators wait longer for large bodies.
+	largeCommand  = 16 << 10
+	largeCallTime = 4 * time.Second
 	// leaderPause is the wait for a leader while none is known.
 	leaderPause = 30 * time.Millisecond
 )
@@ -34,11 +39,29 @@
 	return s.Leader.Host(), s.IsLeader
 }
 
+// patience is how long a call to the leader may take: all tries together, and one.
+type patience struct{ whole, each time.Duration }
+
+var (
+	shortCall = patience{callTime, forwardTimeout}
+	// readCall is for answers that may be large.
+	readCall  = patience{callTime, callTime}
+	largeCall = patience{largeCallTime, largeCallTime}
+)
+
+// commandCall returns the patience with a command.
+func commandCall(encoded []byte) patience {
+	if len(encoded) >= largeCommand {
+		return largeCall
+	}
+	return shortCall
+}
+
 // onLeader calls the leader, here or on another host, until the answer is final
 // or the time is over.
-func onLeader[P, R any](ctx context.Context, h *ControlHost, method string, params P,
+func onLeader[P, R any](ctx context.Context, h *ControlHost, p patience, method string, params P,
 	local func(context.Context, P) (R, error), final func(R) bool) (reply R, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
+	ctx, cancel := context.WithTimeout(ctx, p.whole)
 	defer cancel()
 	err = errors.WithType(errors.New("no leader is known"), controlapi.ErrUnavailable)
 	for ctx.Err() == nil {
@@ -47,7 +70,7 @@
 		case own:
 			reply, err = local(ctx, params)
 		case address != "":
-			reply, err = forward[P, R](ctx, h, address, method, params)
+			reply, err = forward[P, R](ctx, h, p.each, address, method, params)
 		}
 		if err == nil && final(reply) {
 			return reply, nil
@@ -57,8 +80,8 @@
 	return reply, err
 }
 
-func forward[P, R any](ctx context.Context, h *ControlHost, address, method string, params P) (reply R, err error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+func forward[P, R any](ctx context.Context, h *ControlHost, timeout time.Duration, address, method string, params P) (reply R, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err = h.client.Call(ctx, address, method, params, &reply)
 	return reply, err
@@ -68,7 +91,7 @@
 
 // Heartbeat implements controlapi.API.
 func (h *ControlHost) Heartbeat(ctx context.Context, hb wire.Heartbeat) wire.HeartbeatReply {
-	reply, err := onLeader(ctx, h, wire.MethodHeartbeat, hb, h.handleHeartbeat, heartbeatFinal)
+	reply, err := onLeader(ctx, h, shortCall, wire.MethodHeartbeat, hb, h.handleHeartbeat, heartbeatFinal)
 	if err != nil {
 		reply.Reason = err.Error()
 	}
@@ -81,7 +104,7 @@
 
 // Deregister implements controlapi.API.
 func (h *ControlHost) Deregister(ctx context.Context, d wire.Deregister) wire.HeartbeatReply {
-	reply, err := onLeader(ctx, h, wire.MethodDeregister, d, h.handleDeregister, heartbeatFinal)
+	reply, err := onLeader(ctx, h, shortCall, wire.MethodDeregister, d, h.handleDeregister, heartbeatFinal)
 	if err != nil {
 		reply.Reason = err.Error()
 	}
@@ -116,7 +139,7 @@
 		return errors.WithType(err, controlapi.ErrRefused)
 	}
 	applied := func(r wire.ProposalReply) bool { return r.Status == wire.ProposalApplied && r.Result != nil }
-	reply, err := onLeader(ctx, h, wire.MethodOperate, wire.Proposal{Command: encoded}, h.handleOperate, applied)
+	reply, err := onLeader(ctx, h, commandCall(encoded), wire.MethodOperate, wire.Proposal{Command: encoded}, h.handleOperate, applied)
 	switch {
 	case err != nil:
 		err = errors.WithType(err, controlapi.ErrUnavailable)
@@ -133,7 +156,7 @@
 
 // ReadItems implements controlapi.API.
 func (h *ControlHost) ReadItems(ctx context.Context) ([]items.Item, error) {
-	reply, err := onLeader(ctx, h, wire.MethodReadItems, wire.ReadItems{}, h.handleReadItems, func(r wire.ReadItemsReply) bool { return r.OK })
+	reply, err := onLeader(ctx, h, readCall, wire.MethodReadItems, wire.ReadItems{}, h.handleReadItems, func(r wire.ReadItemsReply) bool { return r.OK })
 	if err == nil && !reply.OK {
 		err = errors.New(reply.Reason)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -29,7 +29,7 @@
 	// admitted and served are the times that the call waited to be let in and that its
 	// attempts took.
 	admitted, served time.Duration
-	tried      map[serverKey]bool
+	tried            map[serverKey]bool
 }
 
 func (c *call) left(now time.Time) time.Duration { return c.until.Sub(now) }
--- a/internal/table/compress.go
+++ b/internal/pack/pack.go
@@ -1,4 +1,6 @@
-package table
+// Package pack compresses encoded tables and commands, some of which pass links of a
+// few megabits a second.
+package pack
 
 import (
 	"bytes"
@@ -16,8 +18,10 @@
 	maxDecompressed = 1 << 30
 )
 
-// Pack compresses an encoded delta or snapshot for its way to the hosts, some of
-// which have links of a few megabits a second. The first byte tells how.
+// ErrInvalid means that bytes are not what Pack returned.
+const ErrInvalid = errors.ConstError("invalid packing")
+
+// Pack compresses an encoding. The first byte tells whether and how.
 func Pack(encoded []byte) ([]byte, error) {
 	if len(encoded) < compressFrom {
 		return append([]byte{0}, encoded...), nil
@@ -45,9 +49,9 @@
 		r := flate.NewReader(bytes.NewReader(packed[1:]))
 		out, err := io.ReadAll(io.LimitReader(r, maxDecompressed))
 		if err != nil {
-			return nil, errors.Annotatef(ErrInvalid, "unpacking a table: %v", err)
+			return nil, errors.Annotatef(ErrInvalid, "unpacking: %v", err)
 		}
 		return out, nil
 	}
-	return nil, errors.Annotate(ErrInvalid, "unknown packing of a table")
+	return nil, errors.Annotate(ErrInvalid, "unknown packing")
 }
--- a/internal/table/compress_test.go
+++ b/internal/pack/pack_test.go
@@ -1,4 +1,4 @@
-package table
+package pack
 
 import (
 	"bytes"
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/pack"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -57,7 +58,7 @@
 	is.New(t).NoErr(err)
 	data, err := full.Snapshot()
 	is.New(t).NoErr(err)
-	data, err = table.Pack(data)
+	data, err = pack.Pack(data)
 	is.New(t).NoErr(err)
 	l.table = wire.TableReply{Snapshot: data}
 	is.New(t).NoErr(s.Watch(context.Background()))
@@ -104,6 +105,28 @@
 	}
 }
 
+// Guards against a new host that serves with a part of its first table and refuses
+// requests on routes of the rest as unknown.
+func TestFirstTableIsTakenWhole(t *testing.T) {
+	is, s, l := newSession(t)
+	part := func(base, revision, current uint64) {
+		encoded, err := table.NewBuilder(base).Delta(revision).Encode()
+		is.NoErr(err)
+		encoded, err = pack.Pack(encoded)
+		is.NoErr(err)
+		l.table = wire.TableReply{Delta: encoded, Current: current}
+		is.NoErr(s.Watch(context.Background()))
+	}
+	part(0, 3, 7)
+	is.Equal(s.Table().Revision(), uint64(0))
+	part(3, 5, 9) // what comes meanwhile is not waited for
+	is.Equal(s.Table().Revision(), uint64(0))
+	part(5, 7, 12)
+	is.Equal(s.Table().Revision(), uint64(7))
+	part(7, 8, 12) // later parts are used as they come
+	is.Equal(s.Table().Revision(), uint64(8))
+}
+
 // Guards against a host that routes, or renews, while it hands its roles on.
 func TestClose(t *testing.T) {
 	is, s, l := newSession(t)
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/agatestep/agatestep/internal/pack"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -38,7 +39,7 @@
 	address := s.leader.get()
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.patience)
 	defer cancel()
-	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision()}
+	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.newest().Revision()}
 	var reply wire.TableReply
 	if err := s.cfg.WatchCaller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
 		if errors.Is(err, context.DeadlineExceeded) {
@@ -56,7 +57,7 @@
 }
 
 func (s *Session) apply(reply wire.TableReply) error {
-	current := s.Table()
+	current := s.newest()
 	next, err := nextTable(current, reply)
 	if err != nil {
 		s.cfg.Logger.Warn("routing table update refused", zap.Error(err))
@@ -65,6 +66,11 @@
 	if next.Revision() <= current.Revision() {
 		return nil
 	}
+	if s.isBehind(next, reply) {
+		s.building = next
+		return nil
+	}
+	s.building = nil
 	s.table.Store(next)
 	if s.cfg.OnTable != nil {
 		s.cfg.OnTable(next)
@@ -78,17 +84,38 @@
 	return nil
 }
 
+// newest returns the table that the next change applies to.
+func (s *Session) newest() *table.Table {
+	if s.building != nil {
+		return s.building
+	}
+	return s.Table()
+}
+
+// isBehind reports whether a new process must wait for more before it uses a table:
+// its first one comes in parts, and routes of a later part would be refused as
+// unknown.
+func (s *Session) isBehind(next *table.Table, reply wire.TableReply) bool {
+	if s.Table().Revision() > 0 {
+		return false
+	}
+	if s.complete == 0 {
+		s.complete = reply.Current
+	}
+	return next.Revision() < s.complete
+}
+
 // nextTable never goes back: a revision lower than the current one is ignored.
 func nextTable(current *table.Table, reply wire.TableReply) (*table.Table, error) {
 	switch {
 	case len(reply.Snapshot) > 0:
-		encoded, err := table.Unpack(reply.Snapshot)
+		encoded, err := pack.Unpack(reply.Snapshot)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
 		return table.DecodeSnapshot(encoded)
 	case len(reply.Delta) > 0:
-		encoded, err := table.Unpack(reply.Delta)
+		encoded, err := pack.Unpack(reply.Delta)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -102,6 +102,8 @@
 // TableReply carries a delta or a snapshot, both in the encoding of package table.
 type TableReply struct {
 	Revision uint64 `json:"revision"`
+	// Current is the leader's revision, which a large change is sent apart from.
+	Current  uint64 `json:"current,omitempty"`
 	Snapshot []byte `json:"snapshot,omitempty"`
 	Delta    []byte `json:"delta,omitempty"`
 	Leader   string `json:"leader,omitempty"`
