--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -77,7 +77,7 @@
 	})
 	d := cfg.Deployment
 	h.gateway = gateway.New(gateway.Config{
-		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Permits: h,
+		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Complete: h.session.Complete, Permits: h,
 		Dialect: adapter, Clock: h.clock, Logger: logger,
 		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * float64(d.RetrySlack),
 			LeaveFor:           time.Duration(drainTimeUsed * float64(d.DrainTime)),
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -49,6 +49,9 @@
 		return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, err.Error())
 	}
 	match, ok := set.Match(r.Host, r.URL.Path)
+	if !ok && g.cfg.Complete != nil && !g.cfg.Complete() {
+		return nil, verdict.Unavailable(verdict.ReasonSession, "this host has not got its whole configuration yet")
+	}
 	if !ok {
 		return nil, verdict.Refuse(http.StatusNotFound, verdict.ReasonNoRoute, "no route matches this host and path")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,11 +22,13 @@
 	Host       string
 	DataCentre string
 	Tables     func() *table.Table
-	Permits    Permits
-	Dialect    Dialect
-	Clock      clock.Clock
-	Logger     *zap.Logger
-	Limits     Limits
+	// Complete reports whether the first table came in full; nil means always.
+	Complete func() bool
+	Permits  Permits
+	Dialect  Dialect
+	Clock    clock.Clock
+	Logger   *zap.Logger
+	Limits   Limits
 }
 
 // Permits reaches the dispatchers of backend servers.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -326,6 +326,20 @@
 	is.Equal(w.asks, 2) // the second refusal came from what the host remembers
 }
 
+// Guards against 404 for a route that stands in a part of the first table which is
+// still to come.
+func TestUnknownRouteBeforeTheWholeTable(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.configure()
+	complete := false
+	w.gateway.cfg.Complete = func() bool { return complete }
+	status, _, _ := w.ask("GET", "/later/x", nil)
+	is.Equal(status, http.StatusServiceUnavailable)
+	complete = true
+	status, _, _ = w.ask("GET", "/later/x", nil)
+	is.Equal(status, http.StatusNotFound)
+}
+
 // Guards against an outage of all keys of a server when its dispatcher is lost,
 // against a cold server that gets requests nobody counts, and against permits of asks
 // whose answers are late: each would keep a slot idle for the time of its request.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -67,10 +67,10 @@
 	closing  atomic.Bool
 	patience time.Duration // of the watch loop only
 	changed  chan struct{}
-	// building is the first table of this process while it is not complete, which it
-	// is at the revision that the leader had then. Used by the watch only.
-	building *table.Table
-	complete uint64
+	// whole is the revision that the leader had when it sent this process its first
+	// table; complete is set once the table has it.
+	whole    uint64 // used by the watch only
+	complete atomic.Bool
 }
 
 // lease is one state of the session, replaced as a whole.
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -39,7 +39,7 @@
 	address := s.leader.get()
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.patience)
 	defer cancel()
-	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.newest().Revision()}
+	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision()}
 	var reply wire.TableReply
 	if err := s.cfg.WatchCaller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
 		if errors.Is(err, context.DeadlineExceeded) {
@@ -57,7 +57,7 @@
 }
 
 func (s *Session) apply(reply wire.TableReply) error {
-	current := s.newest()
+	current := s.Table()
 	next, err := nextTable(current, reply)
 	if err != nil {
 		s.cfg.Logger.Warn("routing table update refused", zap.Error(err))
@@ -66,12 +66,8 @@
 	if next.Revision() <= current.Revision() {
 		return nil
 	}
-	if s.isBehind(next, reply) {
-		s.building = next
-		return nil
-	}
-	s.building = nil
 	s.table.Store(next)
+	s.noteComplete(next.Revision(), reply.Current)
 	if s.cfg.OnTable != nil {
 		s.cfg.OnTable(next)
 	}
@@ -84,25 +80,17 @@
 	return nil
 }
 
-// newest returns the table that the next change applies to.
-func (s *Session) newest() *table.Table {
-	if s.building != nil {
-		return s.building
-	}
-	return s.Table()
-}
+// Complete reports whether the first table of this process came in full. Before
+// that, what the table lacks may be in a part that is still to come.
+func (s *Session) Complete() bool { return s.complete.Load() }
 
-// isBehind reports whether a new process must wait for more before it uses a table:
-// its first one comes in parts, and routes of a later part would be refused as
-// unknown.
-func (s *Session) isBehind(next *table.Table, reply wire.TableReply) bool {
-	if s.Table().Revision() > 0 {
-		return false
+func (s *Session) noteComplete(revision, current uint64) {
+	if s.whole == 0 {
+		s.whole = current
 	}
-	if s.complete == 0 {
-		s.complete = reply.Current
+	if revision >= s.whole {
+		s.complete.Store(true)
 	}
-	return next.Revision() < s.complete
 }
 
 // nextTable never goes back: a revision lower than the current one is ignored.
