Prefer requests that can be answered on time only while they surely can

Cause: in a server's queue, requests that could still meet their target went first until 0.6 of the usual service time before it. With more to do than the server can, the oldest of them were sent just then, and most answers missed the target by a little. Change: a request counts as on time while 1.2 of the usual service time is left. A request that is refused by the ask of another is reported to its host at once.

--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -17,6 +17,8 @@
 	Target, Until time.Time
 	// Service is the usual time of such requests, for a server that has no history.
 	Service time.Duration
+	// NoWait is set if the request may go elsewhere: it is let in at once or not at all.
+	NoWait bool
 }
 
 // State is what became of an ask.
@@ -28,6 +30,8 @@
 	Granted
 	Refused
 	Unknown
+	// Busy answers an ask that is not to wait.
+	Busy
 )
 
 const (
@@ -36,6 +40,10 @@
 	// minWork is the part of the usual service time that must be left when a request
 	// is sent: half of the requests take less than the mean.
 	minWork = 0.6
+	// onTimeWork is the part of the usual service time that must be left until the target
+	// of a request that goes before late ones. With less, half of them miss it by a
+	// little, and a server with too much to do answers nothing on time.
+	onTimeWork = 1.2
 	// lowestShare is the part of its time for which a request of the lowest rank may
 	// be expected to wait; one of the highest rank may use all of it.
 	lowestShare = 0.6
@@ -62,6 +70,7 @@
 	waiting []*entry // in order of arrival
 	sent    map[ID]*entry
 	refused map[ID]time.Duration // until the host asks
+	expired []ID                 // refused since the last Next
 	mean    time.Duration        // zero before the first answer
 }
 
@@ -117,11 +126,11 @@
 }
 
 func (q *Queue) onTime(now time.Time, e *entry) bool {
-	return !now.Add(time.Duration(minWork * float64(q.service(&e.Ask)))).After(e.Target)
+	return !now.Add(time.Duration(onTimeWork * float64(q.service(&e.Ask)))).After(e.Target)
 }
 
 // Ask lets a request in or refuses it. A refusal comes with the time after which
-// the caller may return.
+// the caller may return, Busy with the expected wait.
 func (q *Queue) Ask(now time.Time, a Ask) (State, time.Duration) {
 	e := &entry{Ask: a, arrived: now, polled: now}
 	q.expire(now)
@@ -136,6 +145,9 @@
 		}
 	}
 	wait := q.wait(a, position)
+	if a.NoWait {
+		return Busy, wait
+	}
 	if wait+time.Duration(minWork*float64(q.service(&a))) > e.patience(now) || wait > e.maxWait() {
 		return Refused, q.wait(a, len(q.waiting))
 	}
@@ -201,7 +213,8 @@
 // Next grants what may be sent and refuses what cannot be served in time any more.
 // It is called after each change and returns whose state changed.
 func (q *Queue) Next(now time.Time) (changed []ID) {
-	changed = q.expire(now)
+	q.expire(now)
+	changed, q.expired = q.expired, nil
 	for q.free() > 0 && len(q.waiting) > 0 {
 		best := 0
 		for i, e := range q.waiting {
@@ -219,7 +232,7 @@
 
 // expire drops asks that were abandoned or cannot be served in time, and permits
 // whose hosts are gone.
-func (q *Queue) expire(now time.Time) (changed []ID) {
+func (q *Queue) expire(now time.Time) {
 	kept := q.waiting[:0]
 	for _, e := range q.waiting {
 		work := time.Duration(minWork * float64(q.service(&e.Ask)))
@@ -227,7 +240,7 @@
 		case now.Sub(e.polled) > abandonedAfter:
 		case now.Add(work).After(e.Until), now.Sub(e.arrived) > e.maxWait():
 			q.refused[e.ID] = q.wait(e.Ask, len(q.waiting))
-			changed = append(changed, e.ID)
+			q.expired = append(q.expired, e.ID)
 		default:
 			kept = append(kept, e)
 		}
@@ -241,7 +254,6 @@
 	if len(q.refused) > maxRefused {
 		q.refused = map[ID]time.Duration{} // their hosts are gone or learn by the poll that nothing is known
 	}
-	return changed
 }
 
 // maxRefused bounds the refusals that are kept for hosts that do not ask.
