Move hot ranges at once, and nothing because of noise

Cause: while slices were being cut, no slice moved. After an election, nothing moved for the length of a session. Ruled out: a shorter half-life alone (moves by noise). Change: cuts and moves are decided in the same round, and a round follows each cut. A rate has a fast and a slow estimate; the slow one stands within the noise of the fast. The imbalance that starts moves grows with the noise of a server's load. Servers far above the mean give heavy slices up first. A move goes to a server that reports soon. Equal servers get equal loads. Services leased by heartbeat do not wait for sessions.

--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -25,6 +25,8 @@
 	Pace map[string]float64
 	// Service is the service time of the median server; zero while unknown.
 	Service time.Duration
+	// Noise is the standard deviation of a server's measured load relative to its mean.
+	Noise float64
 }
 
 // View is all that the decision about sessions depends on.
@@ -79,7 +81,11 @@
 		return nil
 	}
 	to := map[int]string{}
-	for _, m := range placement.Rebalance(servers, list, placement.Options{Floor: attractFloor, MaxMoves: maxMoving - moving}) {
+	opts := placement.Options{Target: balanceTarget(loads.Noise), Floor: attractFloor, MaxMoves: maxMoving - moving}
+	if leasedByHeartbeat(t, service) {
+		opts.Urgent = urgentLevel
+	}
+	for _, m := range placement.Rebalance(servers, list, opts) {
 		to[m.Index] = m.To
 	}
 	cmd := &command.Move{Service: service}
@@ -96,6 +102,17 @@
 	return []command.Command{{Move: cmd}}
 }
 
+// noiseMargin is the number of standard deviations of a server's measured load that
+// count as even.
+const noiseMargin = 2.0
+
+// urgentLevel is the load of a server relative to the mean above which it is relieved
+// before others make room: it works at its capacity, and its callers wait.
+const urgentLevel = 1.8
+
+// balanceTarget is the imbalance within which nothing moves.
+func balanceTarget(noise float64) float64 { return placement.DefaultTarget + noiseMargin*noise }
+
 func incomplete(t *table.Table, service string, servers []placement.Server) bool {
 	c := ownership.NewCoverage(servers, leasedByHeartbeat(t, service))
 	for s := range t.AllSlices(service) {
@@ -129,6 +146,28 @@
 	return servers, list, moving
 }
 
+// spareRoom returns how much load each server can take before it carries more than the
+// mean, after the given moves.
+func spareRoom(servers []placement.Server, list []placement.Slice, moves []command.SliceMove, loads map[uint64]float64) map[string]float64 {
+	total, weight := 0.0, 0.0
+	room := map[string]float64{}
+	for _, s := range list {
+		total += s.Load
+		room[s.Owner] -= s.Load
+	}
+	for _, s := range servers {
+		weight += float64(s.Slots)
+	}
+	out := map[string]float64{}
+	for _, s := range servers {
+		out[s.Name] = room[s.Name] + total*float64(s.Slots)/weight
+	}
+	for _, m := range moves {
+		out[m.To] -= loads[m.Start]
+	}
+	return out
+}
+
 func hotKeys(t *table.Table, service string, loads Loads, servers int) []uint64 {
 	total := 0.0
 	for _, rate := range loads.Slices {
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -15,9 +15,6 @@
 	// loadHalfLife is the age at which a measurement counts half. The hottest keys
 	// change within minutes, and renewals report five times a second.
 	loadHalfLife = 5 * time.Second
-	// heartbeatHalfLife is the same for services that are leased by heartbeat, whose
-	// moves cost little and whose hot ranges last for seconds.
-	heartbeatHalfLife = 2 * time.Second
 	// maxHotKeys bounds the keys tracked per service.
 	maxHotKeys = 4096
 	// minLoad is the requests per second below which a measurement is dropped.
@@ -27,6 +24,7 @@
 // loads are the smoothed requests per second that dispatchers reported.
 type loads struct {
 	services map[string]*serviceLoads
+	began    time.Time // of the measurement
 	folded   time.Time
 }
 
@@ -39,11 +37,6 @@
 	medianMs float64
 }
 
-type rate struct {
-	perSecond float64
-	count     uint64 // since the last fold
-}
-
 func newLoads() *loads { return &loads{services: map[string]*serviceLoads{}} }
 
 // add takes in the reports about published services.
@@ -76,7 +69,7 @@
 func addCount(rates map[uint64]*rate, id, count uint64) {
 	r := rates[id]
 	if r == nil {
-		r = &rate{}
+		r = &rate{follow: followFor}
 		rates[id] = r
 	}
 	r.count += count
@@ -91,15 +84,16 @@
 	}
 	l.folded = now
 	if first {
+		l.began = now
 		return // the time that the first counts cover is unknown
 	}
 	for name, s := range l.services {
-		weight := decay(elapsed, loadHalfLife)
+		lives, keyLives := halfLives{loadHalfLife, loadHalfLife}, halfLives{loadHalfLife, loadHalfLife}
 		if leasedByHeartbeat(t, name) {
-			weight = decay(elapsed, heartbeatHalfLife)
+			lives, keyLives = halfLives{fastHalfLife, slowHalfLife}, halfLives{fastHalfLife, fastHalfLife}
 		}
-		foldRates(s.slices, elapsed.Seconds(), weight)
-		foldRates(s.keys, elapsed.Seconds(), weight)
+		foldRates(s.slices, elapsed, lives)
+		foldRates(s.keys, elapsed, keyLives)
 		s.boundKeys()
 		s.foldServers(now, elapsed)
 	}
@@ -111,11 +105,10 @@
 	return 1 - math.Exp2(-elapsed.Seconds()/halfLife.Seconds())
 }
 
-func foldRates(rates map[uint64]*rate, seconds, weight float64) {
+func foldRates(rates map[uint64]*rate, elapsed time.Duration, lives halfLives) {
 	for id, r := range rates {
-		r.perSecond += weight * (float64(r.count)/seconds - r.perSecond)
-		r.count = 0
-		if r.perSecond < minLoad {
+		r.fold(elapsed, lives)
+		if r.perSecond() < minLoad {
 			delete(rates, id)
 		}
 	}
@@ -128,12 +121,12 @@
 	}
 	all := make([]float64, 0, len(s.keys))
 	for _, r := range s.keys {
-		all = append(all, r.perSecond)
+		all = append(all, r.perSecond())
 	}
 	slices.Sort(all)
 	least := all[len(all)-maxHotKeys]
 	for hash, r := range s.keys {
-		if r.perSecond < least {
+		if r.perSecond() < least {
 			delete(s.keys, hash)
 		}
 	}
@@ -162,29 +155,39 @@
 		}
 		before, _ := t.Lookup(c.Service, hash-1)
 		if r := s.slices[before.Start]; r != nil {
-			r.perSecond = max(0, r.perSecond-key.perSecond)
+			r.part(min(key.perSecond()/r.perSecond(), 1))
 		}
-		s.slices[hash] = &rate{perSecond: key.perSecond}
+		s.slices[hash] = &rate{fast: key.fast, slow: key.slow}
 	}
 }
 
-// cut divides the load of a slice that was cut at start by that of its keys.
+// cut divides the load of a slice that was cut at start in proportion to that of its
+// keys. The sum of the keys' loads is not used: many of them are too small to be
+// remembered.
 func (s *serviceLoads) cut(service string, start uint64, t *table.Table) {
 	part, ok := t.Lookup(service, start)
 	if !ok || part.Start != start || start == 0 {
 		return
 	}
-	load := 0.0
-	for hash, r := range s.keys {
-		if hash >= part.Start && hash <= part.Last {
-			load += r.perSecond
+	before, _ := t.Lookup(service, start-1)
+	r := s.slices[before.Start]
+	if r == nil {
+		return
+	}
+	inPart, inBoth := 0.0, 0.0
+	for hash, key := range s.keys {
+		if hash < before.Start || hash > part.Last {
+			continue
+		}
+		inBoth += key.perSecond()
+		if hash >= part.Start {
+			inPart += key.perSecond()
 		}
 	}
-	before, _ := t.Lookup(service, start-1)
-	if r := s.slices[before.Start]; r != nil {
-		r.perSecond = max(0, r.perSecond-load)
+	if inBoth == 0 {
+		return
 	}
-	s.slices[start] = &rate{perSecond: load}
+	s.slices[start] = r.part(inPart / inBoth)
 }
 
 // view returns the rates of a service by slice start and by key hash.
@@ -200,7 +203,7 @@
 func rates(in map[uint64]*rate) map[uint64]float64 {
 	out := make(map[uint64]float64, len(in))
 	for id, r := range in {
-		out[id] = r.perSecond
+		out[id] = r.perSecond()
 	}
 	return out
 }
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -68,18 +68,22 @@
 	if err := l.establish(ctx); err != nil {
 		return nil
 	}
-	t, loads, ok := l.balanceView()
+	t, loads, graceOver, ok := l.balanceView()
 	if !ok {
 		return nil
 	}
 	var due []command.Command
 	for _, s := range t.Services() {
-		if s.File.Keyed() {
+		// Sessions of earlier leaders bound the leases of dispatchers, not those of
+		// backend servers that are leased by heartbeat.
+		if s.File.Keyed() && (graceOver || leasedByHeartbeat(t, s.File.Service)) {
 			due = append(due, l.balanceService(t, s.File.Service, loads[s.File.Service])...)
 		}
 	}
-	for _, h := range fleet.PlanHandOvers(t) {
-		due = append(due, command.Command{HandOver: &h})
+	if graceOver {
+		for _, h := range fleet.PlanHandOvers(t) {
+			due = append(due, command.Command{HandOver: &h})
+		}
 	}
 	l.carryOut(ctx, due)
 	return due
@@ -122,14 +126,15 @@
 	return v, l.decideHeld(r.now, v.Table), true
 }
 
-// balanceView returns what DecideBalance needs, if a decision is due.
-func (l *Leader) balanceView() (*table.Table, map[string]Loads, bool) {
+// balanceView returns what DecideBalance needs, if a decision is due. graceOver tells
+// whether all sessions of earlier leaders are surely over.
+func (l *Leader) balanceView() (t *table.Table, loads map[string]Loads, graceOver, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, _, ok := l.lead()
 	due := l.again || r.now.Sub(l.balanced) >= l.cfg.BalanceInterval
-	if !ok || !due || r.inGrace() {
-		return nil, nil, false
+	if !ok || !due {
+		return nil, nil, false, false
 	}
 	l.balanced, l.again = r.now, false
 	l.loads.fold(r.now, l.cfg.State.Table())
@@ -137,7 +142,7 @@
 	for name := range l.loads.services {
 		out[name] = l.loads.view(name)
 	}
-	return l.cfg.State.Table(), out, true
+	return l.cfg.State.Table(), out, !r.inGrace(), true
 }
 
 // carriedOut takes note of a committed split or move.
@@ -147,6 +152,7 @@
 	switch {
 	case c.Split != nil:
 		l.loads.split(c.Split, l.cfg.State.Table())
+		l.again = true // the parts can be placed
 	case c.Move != nil && l.loads.idle(c.Move.Service):
 		// Without load nothing can be overloaded by moves, so a service that is being
 		// set up is spread at once instead of once per interval.
--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,34 +30,49 @@
 // staged are moves that were decided and wait for a good moment to begin.
 type staged struct {
 	moves map[string]map[uint64]stagedMove // by service and start
+	room  map[string]map[string]float64    // by service and backend server
+	// since is when a server was first to give slices up, by service and server. The
+	// slices chosen vary from one decision to the next.
+	since map[string]map[string]time.Time
 }
 
 type stagedMove struct {
 	command.SliceMove
-	at time.Time
+	load float64
 }
 
-func newStaged() *staged { return &staged{moves: map[string]map[uint64]stagedMove{}} }
+func newStaged() *staged {
+	return &staged{moves: map[string]map[uint64]stagedMove{}, room: map[string]map[string]float64{}, since: map[string]map[string]time.Time{}}
+}
 
-// replace puts the latest decisions for a service in place of earlier ones. A
-// move that is decided again keeps its age.
-func (s *staged) replace(service string, moves []command.SliceMove, now time.Time) {
-	next := map[uint64]stagedMove{}
+// replace puts the latest decisions for a service in place of earlier ones. room is
+// the load that servers can take beyond these moves.
+func (s *staged) replace(t *table.Table, service string, moves []command.SliceMove, loads map[uint64]float64, room map[string]float64, now time.Time) {
+	next, since := map[uint64]stagedMove{}, map[string]time.Time{}
 	for _, m := range moves {
-		at := now
-		if old, ok := s.moves[service][m.Start]; ok && old.Epoch == m.Epoch {
-			at = old.at
+		next[m.Start] = stagedMove{SliceMove: m, load: loads[m.Start]}
+		slice, _ := t.Lookup(service, m.Start)
+		since[slice.Owner] = now
+		if old, ok := s.since[service][slice.Owner]; ok {
+			since[slice.Owner] = old
 		}
-		next[m.Start] = stagedMove{SliceMove: m, at: at}
 	}
-	s.moves[service] = next
+	s.moves[service], s.room[service], s.since[service] = next, room, since
 }
 
 // due removes and returns the moves away from an owner that are to begin with the
-// answer to its heartbeat. next tells when a backend server reports next.
+// answer to its heartbeat. next tells when a backend server reports next. Heartbeats
+// keep their distance in time, so a server that reports at a bad moment for this owner
+// is replaced by another one that has room.
 func (s *staged) due(t *table.Table, service, owner string, now time.Time, next func(backend string) (time.Time, bool)) []command.SliceMove {
+	soon := func(backend string) bool {
+		at, known := next(backend)
+		wait := at.Sub(now)
+		return known && wait >= releaseTime && wait <= releaseTime+moveWindow
+	}
 	var out []command.SliceMove
-	for start, m := range s.moves[service] {
+	for _, start := range slices.Sorted(maps.Keys(s.moves[service])) {
+		m := s.moves[service][start]
 		slice, ok := t.Lookup(service, start)
 		if !ok || slice.Start != start || slice.Epoch != m.Epoch || slice.State != table.SliceOwned {
 			delete(s.moves[service], start)
@@ -64,10 +81,15 @@
 		if slice.Owner != owner {
 			continue
 		}
-		at, known := next(m.To)
-		wait := at.Sub(now)
-		if now.Sub(m.at) < maxStaged && (!known || wait < releaseTime || wait > releaseTime+moveWindow) {
-			continue
+		if !soon(m.To) {
+			if other, ok := s.takeRoom(service, owner, &m, soon); ok {
+				m.To = other
+			} else if now.Sub(s.since[service][owner]) < maxStaged {
+				continue
+			}
+		}
+		if s.room[service] != nil {
+			s.room[service][owner] += m.load
 		}
 		out = append(out, m.SliceMove)
 		delete(s.moves[service], start)
@@ -75,6 +97,22 @@
 	return out
 }
 
+// takeRoom finds the server with the most room for a move among those that report
+// soon, if it is then less loaded than the owner is.
+func (s *staged) takeRoom(service, owner string, m *stagedMove, soon func(backend string) bool) (backend string, ok bool) {
+	room := s.room[service]
+	for _, name := range slices.Sorted(maps.Keys(room)) {
+		if name != owner && room[name]-m.load > room[owner]+m.load && (!ok || room[name] > room[backend]) && soon(name) {
+			backend, ok = name, true
+		}
+	}
+	if ok {
+		room[backend] -= m.load
+		room[m.To] += m.load
+	}
+	return backend, ok
+}
+
 // beginMoves commits the moves that the answer to this heartbeat begins.
 func (l *Leader) beginMoves(ctx context.Context, hb *wire.Heartbeat) {
 	t := l.cfg.State.Table()
@@ -123,28 +161,54 @@
 		return []command.Command{{Split: &command.Split{Service: service, Cuts: cuts}}}
 	}
 	loads.Slow = nil // their pace says it
-	if cuts := DecideCuts(t, service, loads); len(cuts) > 0 {
-		return []command.Command{{Split: &command.Split{Service: service, Cuts: cuts}}}
-	}
+	cuts := DecideCuts(t, service, loads)
 	// A slice of one hash would share its key with the next slice: servers that are
 	// leased by heartbeat hold whole keys, and keys may span many hashes.
 	loads.Keys = nil
-	due := DecideBalance(t, service, loads, l.cfg.MaxMoving)
+	servers, list, _ := placementView(t, service, loads)
+	loads.Noise = loads.noise(len(servers), l.observed())
+	due := DecideBalance(t, service, loads, max(l.cfg.MaxMoving, len(servers)/serversPerMove))
 	var moves []command.SliceMove
 	out := due[:0]
 	for _, c := range due {
 		if c.Move != nil {
-			moves = append(moves, c.Move.Moves...)
+			moves = append(moves, withoutCut(t, service, c.Move.Moves, cuts)...)
 			continue
 		}
 		out = append(out, c)
 	}
+	if len(cuts) > 0 {
+		out = append(out, command.Command{Split: &command.Split{Service: service, Cuts: cuts}})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.staged.replace(service, moves, l.cfg.Clock.Now())
+	l.staged.replace(t, service, moves, loads.Slices, spareRoom(servers, list, moves, loads.Slices), l.cfg.Clock.Now())
 	return out
 }
 
+// serversPerMove is the number of backend servers for each slice that may move at the
+// same time: its requests wait until the next owner reports.
+const serversPerMove = 4
+
+// observed is how long this leader has measured loads.
+func (l *Leader) observed() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loads.folded.Sub(l.loads.began)
+}
+
+// withoutCut returns the moves of slices that are not cut in the same round: the next
+// one places their parts.
+func withoutCut(t *table.Table, service string, moves []command.SliceMove, cuts []uint64) []command.SliceMove {
+	cut := map[uint64]bool{}
+	for _, at := range cuts {
+		if s, ok := t.Lookup(service, at); ok {
+			cut[s.Start] = true
+		}
+	}
+	return slices.DeleteFunc(moves, func(m command.SliceMove) bool { return cut[m.Start] })
+}
+
 func leasedByHeartbeat(t *table.Table, service string) bool {
 	s := t.Items().Service(service)
 	return s != nil && s.LeaseByHeartbeat
--- a/internal/control/weights.go
+++ b/internal/control/weights.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -56,10 +55,17 @@
 		use[name] = min(leastUse, level) * c
 		left -= use[name]
 	}
-	for _, name := range byPace(servers, pace) {
-		more := min(max(left, 0), level*capacity[name]-use[name])
-		use[name] += more
-		left -= more
+	for _, group := range byPace(servers, pace) {
+		room := 0.0
+		for _, name := range group {
+			room += level*capacity[name] - use[name]
+		}
+		share := min(max(left, 0)/max(room, math.SmallestNonzeroFloat64), 1)
+		for _, name := range group {
+			more := share * (level*capacity[name] - use[name])
+			use[name] += more
+			left -= more
+		}
 	}
 	out := slices.Clone(servers)
 	for i := range out {
@@ -68,13 +74,15 @@
 	return out
 }
 
-// byPace returns the names of servers, the fastest first.
-func byPace(servers []placement.Server, pace map[string]float64) []string {
-	names := map[string]float64{}
+// byPace returns the names of servers in groups of the same pace, the fastest first.
+func byPace(servers []placement.Server, pace map[string]float64) [][]string {
+	groups := map[float64][]string{}
 	for _, s := range servers {
-		names[s.Name] = pace[s.Name]
+		groups[pace[s.Name]] = append(groups[pace[s.Name]], s.Name)
 	}
-	return slices.SortedFunc(maps.Keys(names), func(a, b string) int {
-		return cmp.Or(cmp.Compare(names[b], names[a]), cmp.Compare(a, b))
-	})
+	var out [][]string
+	for _, p := range slices.Backward(slices.Sorted(maps.Keys(groups))) {
+		out = append(out, groups[p])
+	}
+	return out
 }
--- a/internal/placement/rebalance.go
+++ b/internal/placement/rebalance.go
@@ -25,6 +25,9 @@
 	// Continue says that the last call gave MaxMoves moves: this one goes on to the
 	// goal, although the target may be met by now.
 	Continue bool
+	// Urgent is the imbalance above which a heavy slice goes to the least loaded server
+	// without room being made there first, which takes many moves. Zero means never.
+	Urgent float64
 
 	fill float64 // load relative to a fair one up to which a starved server is filled
 	part float64 // imbalance above which heavy slices are parted
@@ -144,6 +147,11 @@
 		if from == none || from == to {
 			return nil
 		}
+		if opts.Urgent > 0 && r.level(from) > opts.Urgent {
+			if i := r.pickPair(from, to); i != none {
+				return []Move{r.shift(i, to)}
+			}
+		}
 		if i := r.pick(from, to); i != none {
 			return []Move{r.shift(i, to)}
 		}
