--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -150,22 +150,22 @@
 // mean, after the given moves.
 func spareRoom(servers []placement.Server, list []placement.Slice, moves []command.SliceMove, loads map[uint64]float64) map[string]float64 {
 	total, weight := 0.0, 0.0
-	room := map[string]float64{}
+	carried := map[string]float64{}
 	for _, s := range list {
 		total += s.Load
-		room[s.Owner] -= s.Load
+		carried[s.Owner] += s.Load
+	}
+	for _, m := range moves {
+		carried[m.To] += loads[m.Start]
 	}
 	for _, s := range servers {
 		weight += float64(s.Slots)
 	}
-	out := map[string]float64{}
+	room := map[string]float64{}
 	for _, s := range servers {
-		out[s.Name] = room[s.Name] + total*float64(s.Slots)/weight
+		room[s.Name] = total*float64(s.Slots)/weight - carried[s.Name]
 	}
-	for _, m := range moves {
-		out[m.To] -= loads[m.Start]
-	}
-	return out
+	return room
 }
 
 func hotKeys(t *table.Table, service string, loads Loads, servers int) []uint64 {
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -17,8 +17,6 @@
 	Target, Until time.Time
 	// Service is the usual time of such requests, for a server that has no history.
 	Service time.Duration
-	// NoWait is set if the request may go elsewhere: it is let in at once or not at all.
-	NoWait bool
 }
 
 // State is what became of an ask.
@@ -30,8 +28,6 @@
 	Granted
 	Refused
 	Unknown
-	// Busy answers an ask that is not to wait.
-	Busy
 )
 
 const (
@@ -130,7 +126,7 @@
 }
 
 // Ask lets a request in or refuses it. A refusal comes with the time after which
-// the caller may return, Busy with the expected wait.
+// the caller may return.
 func (q *Queue) Ask(now time.Time, a Ask) (State, time.Duration) {
 	e := &entry{Ask: a, arrived: now, polled: now}
 	q.expire(now)
@@ -145,9 +141,6 @@
 		}
 	}
 	wait := q.wait(a, position)
-	if a.NoWait {
-		return Busy, wait
-	}
 	if wait+time.Duration(minWork*float64(q.service(&a))) > e.patience(now) || wait > e.maxWait() {
 		return Refused, q.wait(a, len(q.waiting))
 	}
