--- a/internal/permit/load_test.go
+++ b/internal/permit/load_test.go
@@ -47,7 +47,6 @@
 	until    time.Time // of this attempt
 	attempts int
 	work     time.Duration
-	done     bool
 }
 
 type events []event
