--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -151,8 +151,9 @@
 	defer l.mu.Unlock()
 	switch {
 	case c.Split != nil:
-		l.loads.split(c.Split, l.cfg.State.Table())
-		l.again = true // the parts can be placed
+		t := l.cfg.State.Table()
+		l.loads.split(c.Split, t)
+		l.again = l.again || leasedByHeartbeat(t, c.Split.Service) // the parts can be placed
 	case c.Move != nil && l.loads.idle(c.Move.Service):
 		// Without load nothing can be overloaded by moves, so a service that is being
 		// set up is spread at once instead of once per interval.
