Bound the leader's time for decisions about loads

Decisions that follow each cut, and a quarter of the servers as many moves at once, are suspected to take the leader's time and to change tables faster than hosts get them. Ruled out: nothing yet.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -135,8 +135,10 @@
 	repaired map[string]look
 	balanced time.Time // last decision to split and move
 	again    bool      // the next decision is due at once
-	wake     chan struct{}
-	election singleflight.Group
+	// balanceCost is the time that the last of these decisions took.
+	balanceCost time.Duration
+	wake        chan struct{}
+	election    singleflight.Group
 	// proposals are the commands of operators that are on their way.
 	proposals singleflight.Group
 	// orderly is when a dispatcher last began to give its role up in an orderly
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -72,6 +72,7 @@
 	if !ok {
 		return nil
 	}
+	began := l.cfg.Clock.Now()
 	var due []command.Command
 	for _, s := range t.Services() {
 		// Sessions of earlier leaders bound the leases of dispatchers, not those of
@@ -80,6 +81,7 @@
 			due = append(due, l.balanceService(t, s.File.Service, loads[s.File.Service])...)
 		}
 	}
+	l.noteCost(l.cfg.Clock.Now().Sub(began))
 	if graceOver {
 		for _, h := range fleet.PlanHandOvers(t) {
 			due = append(due, command.Command{HandOver: &h})
@@ -132,7 +134,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, _, ok := l.lead()
-	due := l.again || r.now.Sub(l.balanced) >= l.cfg.BalanceInterval
+	passed := r.now.Sub(l.balanced)
+	due := l.again && passed >= pausePerCost*l.balanceCost || passed >= l.cfg.BalanceInterval
 	if !ok || !due {
 		return nil, nil, false, false
 	}
@@ -145,6 +148,17 @@
 	return l.cfg.State.Table(), out, !r.inGrace(), true
 }
 
+// pausePerCost is the pause after a decision relative to the time that it took, so that
+// decisions in a row leave the leader time for heartbeats and watches.
+const pausePerCost = 20
+
+// noteCost records how long the last decision about loads took.
+func (l *Leader) noteCost(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.balanceCost = d
+}
+
 // carriedOut takes note of a committed split or move.
 func (l *Leader) carriedOut(c *command.Command) {
 	l.mu.Lock()
--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -167,7 +167,7 @@
 	loads.Keys = nil
 	servers, list, _ := placementView(t, service, loads)
 	loads.Noise = loads.noise(len(servers), l.observed())
-	due := DecideBalance(t, service, loads, max(l.cfg.MaxMoving, len(servers)/serversPerMove))
+	due := DecideBalance(t, service, loads, l.cfg.MaxMoving)
 	var moves []command.SliceMove
 	out := due[:0]
 	for _, c := range due {
@@ -186,10 +186,6 @@
 	return out
 }
 
-// serversPerMove is the number of backend servers for each slice that may move at the
-// same time: its requests wait until the next owner reports.
-const serversPerMove = 4
-
 // observed is how long this leader has measured loads.
 func (l *Leader) observed() time.Duration {
 	l.mu.Lock()
