Log when an entry host takes a table, how long the answer took, and the table's age

The logs could not tell a table that comes late from a decision that is carried out late: the revision stood in lines of requests only, without an age.

Each table taken and each failed watch has a line; answers to watches say how long the leader held them; refusals have the table's age; the age and the time of answers on their way are metrics. No decision changes.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -203,6 +203,13 @@
 // Watch returns what changed since the revision of a host's table, and waits for
 // a change for at most the poll time when there is none.
 func (l *Leader) Watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
+	received := l.cfg.Clock.Now()
+	reply := l.watch(ctx, req)
+	reply.HeldMs = l.cfg.Clock.Now().Sub(received).Milliseconds()
+	return reply
+}
+
+func (l *Leader) watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
 	timeout := time.NewTimer(l.cfg.Poll)
 	defer timeout.Stop()
 	for {
@@ -222,7 +229,7 @@
 				return wire.TableReply{Revision: revision, Leader: st.LeaderHost, Reason: err.Error()}
 			}
 		case <-timeout.C:
-			return wire.TableReply{Revision: revision, Leader: st.LeaderHost}
+			return wire.TableReply{Revision: revision, Current: revision, Leader: st.LeaderHost}
 		case <-ctx.Done():
 			return wire.TableReply{Revision: revision, Leader: st.LeaderHost, Reason: ctx.Err().Error()}
 		}
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -73,11 +73,13 @@
 
 		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, WatchCaller: h.logClient, Clock: h.clock, Logger: logger,
 		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.SessionTTL / callsPerSession, WatchPoll: cfg.Timing.WatchPoll,
-		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, Record: h.record,
+		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, OnAnswer: counters.watchAnswered, Record: h.record,
 	})
+	asOf := h.session.AsOf
+	counters.tableAsOf.Store(&asOf)
 	d := cfg.Deployment
 	h.gateway = gateway.New(gateway.Config{
-		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Complete: h.session.Complete, Permits: h,
+		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Complete: h.session.Complete, TableAsOf: h.session.AsOf, Permits: h,
 		Dialect: adapter, Clock: h.clock, Logger: logger,
 		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * float64(d.RetrySlack),
 			LeaveFor:           time.Duration(drainTimeUsed * float64(d.DrainTime)),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,11 +24,14 @@
 	Tables     func() *table.Table
 	// Complete reports whether the first table came in full; nil means always.
 	Complete func() bool
-	Permits  Permits
-	Dialect  Dialect
-	Clock    clock.Clock
-	Logger   *zap.Logger
-	Limits   Limits
+	// TableAsOf returns when the table was last known to be the leader's newest; nil
+	// means always.
+	TableAsOf func() time.Time
+	Permits   Permits
+	Dialect   Dialect
+	Clock     clock.Clock
+	Logger    *zap.Logger
+	Limits    Limits
 }
 
 // Permits reaches the dispatchers of backend servers.
@@ -259,6 +262,14 @@
 	return max(s.MaxConnections/max(g.hosts, 1), 1)
 }
 
+// tableAge is how long ago the table was last known to be the leader's newest.
+func (g *Gateway) tableAge() time.Duration {
+	if g.cfg.TableAsOf == nil {
+		return 0
+	}
+	return g.cfg.Clock.Now().Sub(g.cfg.TableAsOf())
+}
+
 // CallerTimeouts returns how long a caller may take to send its headers and how
 // long its connection may stay idle. Zero means that no configuration says it.
 func (g *Gateway) CallerTimeouts() (header, idle time.Duration) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -150,7 +150,7 @@
 		}
 	}
 	g.counters.Outcomes.Add(kind+" "+outcome, 1)
-	g.counters.latencies.record(kind+" "+outcome, took)
+	g.counters.latencies.Record(kind+" "+outcome, took)
 }
 
 // fields describe a call in a log line.
@@ -179,7 +179,7 @@
 	g.counters.Refusals.Add(string(e.Reason), 1)
 	fields := append(c.fields(), zap.String("verdict", e.Verdict.String()), zap.Int("status", e.Status), zap.String("reason", string(e.Reason)),
 		zap.String("detail", e.Detail), zap.Duration("took", took), zap.Duration("retry_after", retryAfter),
-		zap.Uint64("revision", g.cfg.Tables().Revision()), logging.Cause("cause", e.Cause))
+		zap.Uint64("revision", g.cfg.Tables().Revision()), zap.Duration("table_age", g.tableAge()), logging.Cause("cause", e.Cause))
 	if c == nil {
 		fields = append(fields, zap.String("host", r.Host), zap.String("path", r.URL.Path))
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -368,7 +368,7 @@
 	}
 	g.cfg.Logger.Info("attempt not run", append(c.fields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
 		zap.String("slice_owner", t.slice.Owner), zap.Int("status", status), zap.String("reason", string(e.Reason)),
-		zap.Uint64("revision", g.cfg.Tables().Revision()))...)
+		zap.Uint64("revision", g.cfg.Tables().Revision()), zap.Duration("table_age", g.tableAge()))...)
 	return e
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -50,7 +50,10 @@
 	AckChanges bool
 	// OnTable is called after each change of the routing table; it may be nil.
 	OnTable func(*table.Table)
-	Record  func(kind, subject, detail string)
+	// OnAnswer is called after each answer to a watch with the time that watch and
+	// answer were on their way; it may be nil.
+	OnAnswer func(way time.Duration)
+	Record   func(kind, subject, detail string)
 }
 
 // Session is the lease of one entry host. Its readers never block.
@@ -66,7 +69,10 @@
 	lastLoad time.Time
 	closing  atomic.Bool
 	patience time.Duration // of the watch loop only
-	changed  chan struct{}
+	// asOf is when the table was last known to be the leader's newest.
+	asOf    atomic.Pointer[time.Time]
+	failure string // last failed watch, of the watch loop only
+	changed chan struct{}
 	// whole is the revision that the leader had when it sent this process its first
 	// table; complete is set once the table has it.
 	whole    uint64 // used by the watch only
@@ -90,12 +96,17 @@
 	s.seeds.Store(&cfg.Replicas)
 	s.table.Store(table.Empty())
 	s.lease.Store(&lease{})
+	s.asOf.Store(&time.Time{})
 	return s
 }
 
 // Table returns the current routing table. It may be used only until ValidUntil.
 func (s *Session) Table() *table.Table { return s.table.Load() }
 
+// AsOf returns when the table was last known to be the leader's newest. It is the
+// zero time before the first one.
+func (s *Session) AsOf() time.Time { return *s.asOf.Load() }
+
 // ValidUntil returns the end of the session on the local clock. It is the zero
 // time while the table is older than the session.
 func (s *Session) ValidUntil() time.Time {
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -40,32 +40,66 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.patience)
 	defer cancel()
 	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision()}
+	sent := s.cfg.Clock.Now()
 	var reply wire.TableReply
 	if err := s.cfg.WatchCaller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
 		if errors.Is(err, context.DeadlineExceeded) {
 			s.patience = min(2*s.patience, maxPatience)
 		}
 		s.leader.advance(address, "")
-		return errors.Trace(err)
+		return s.watchFailed(address, sent, errors.Trace(err))
 	}
 	s.patience = s.cfg.CallTimeout
 	if reply.Reason != "" {
 		s.leader.advance(address, reply.Leader)
-		return errors.Errorf("%s: %s", address, reply.Reason)
+		return s.watchFailed(address, sent, errors.Errorf("%s: %s", address, reply.Reason))
 	}
-	return s.apply(reply)
+	s.failure = ""
+	return s.apply(answer{TableReply: reply, from: address, sent: sent})
 }
 
-func (s *Session) apply(reply wire.TableReply) error {
+// watchFailed logs a failed watch, and repeated ones once.
+func (s *Session) watchFailed(address string, sent time.Time, err error) error {
+	if said := err.Error(); said != s.failure {
+		s.failure = said
+		now := s.cfg.Clock.Now()
+		s.cfg.Logger.Info("watch of the routing table failed", zap.String("replica", address), zap.Duration("took", now.Sub(sent)),
+			zap.Uint64("revision", s.Table().Revision()), zap.Duration("table_age", now.Sub(s.AsOf())), zap.Error(err))
+	}
+	return err
+}
+
+// answer is the answer to a watch.
+type answer struct {
+	wire.TableReply
+	from string
+	sent time.Time // when the watch was sent
+}
+
+// held is how long the replica waited for a change.
+func (a *answer) held() time.Duration { return time.Duration(a.HeldMs) * time.Millisecond }
+
+func (s *Session) apply(reply answer) error {
 	current := s.Table()
-	next, err := nextTable(current, reply)
+	next, err := nextTable(current, reply.TableReply)
 	if err != nil {
-		s.cfg.Logger.Warn("routing table update refused", zap.Error(err))
+		s.cfg.Logger.Warn("routing table update refused", zap.Uint64("revision", current.Revision()), zap.Error(err))
 		return errors.Trace(err)
 	}
+	way := s.cfg.Clock.Now().Sub(reply.sent) - reply.held()
+	if s.cfg.OnAnswer != nil {
+		s.cfg.OnAnswer(way)
+	}
+	if next.Revision() >= reply.Current {
+		asOf := reply.sent.Add(reply.held())
+		s.asOf.Store(&asOf)
+	}
 	if next.Revision() <= current.Revision() {
 		return nil
 	}
+	s.cfg.Logger.Info("routing table taken", zap.Uint64("revision", next.Revision()), zap.Uint64("from", current.Revision()),
+		zap.Uint64("leader_revision", reply.Current), zap.String("replica", reply.from), zap.Bool("whole", len(reply.Snapshot) > 0),
+		zap.Int("bytes", len(reply.Snapshot)+len(reply.Delta)), zap.Duration("held", reply.held()), zap.Duration("way", way))
 	s.table.Store(next)
 	s.noteComplete(next.Revision(), reply.Current)
 	if s.cfg.OnTable != nil {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -108,6 +108,8 @@
 	Delta    []byte `json:"delta,omitempty"`
 	Leader   string `json:"leader,omitempty"`
 	Reason   string `json:"reason,omitempty"`
+	// HeldMs is how long the replica held the watch before it answered.
+	HeldMs int64 `json:"held_ms,omitempty"`
 }
 
 // Proposal carries an encoded command.Command to the leader.
