Acknowledge the end of a backend server only once it is recorded

Cause: a control host passes a heartbeat on to the leader again after 350 ms. The leader notes the sequence before it commits what is new, so a repetition was taken for a late heartbeat and acknowledged, while the commit for the first receipt was on its way or had failed. The server believed that its end was known; its next heartbeat, 1.5 s later, recorded it.

Change: the newest heartbeat once more, within the second for which a server waits, is answered as the first receipt was. That also renews its lease, which the second answer, the one that the server gets, did not. Any later copy still renews nothing, but one that says that the server leaves is acknowledged only once that is recorded.

Before: TestLeavingIsAcknowledgedOnlyOnceItIsRecorded and TestRepeatedHeartbeatIsAnsweredInFull fail. After: both pass.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -32,8 +32,7 @@
 		return wire.HeartbeatReply{Reason: err.Error()}
 	}
 	if !newest {
-		l.cfg.Logger.Info("late heartbeat ignored", zap.String("backend", hb.Backend), zap.Int64("born", hb.Born), zap.Uint64("sequence", hb.Sequence))
-		return wire.HeartbeatReply{Acked: true}
+		return l.answerLate(ctx, &hb)
 	}
 	if reply, done := l.record(ctx, &hb); done {
 		return reply
@@ -43,6 +42,37 @@
 	return l.lease(&hb)
 }
 
+// answerLate answers a heartbeat that renews nothing. Its acknowledgement still
+// promises that the end of the server is known, which the commit for an earlier
+// receipt may have failed to record.
+func (l *Leader) answerLate(ctx context.Context, hb *wire.Heartbeat) wire.HeartbeatReply {
+	l.cfg.Logger.Info("late heartbeat renews nothing", zap.String("backend", hb.Backend), zap.Int64("born", hb.Born),
+		zap.Uint64("sequence", hb.Sequence), zap.Bool("leaving", hb.Leaving))
+	b := l.cfg.State.Table().Backend(hb.Service, hb.Backend)
+	if hb.Leaving && b != nil && b.Born == hb.Born {
+		if err := l.recordLeaving(ctx, b); err != nil {
+			return wire.HeartbeatReply{Reason: err.Error()}
+		}
+	}
+	return wire.HeartbeatReply{Acked: true}
+}
+
+// recordLeaving commits the end of a backend server that is in use.
+func (l *Leader) recordLeaving(ctx context.Context, b *table.Backend) error {
+	if b.Leaving || b.Lost {
+		return nil
+	}
+	res, err := l.commit(ctx, command.Command{BackendReported: &command.BackendReported{
+		Service: b.Service, Backend: b.Name, Born: b.Born, DataCentre: b.DataCentre, Address: b.Address,
+		Slots: b.Slots, Cold: b.Cold, Leaving: true}})
+	if err != nil {
+		return errors.Annotate(err, "recording the end")
+	}
+	l.cfg.Logger.Info("backend server deregistered", zap.String("backend", b.Name), zap.String("service", b.Service),
+		zap.Int64("born", b.Born), zap.String("result", string(res.Code)), zap.Uint64("revision", res.Revision))
+	return nil
+}
+
 // observe takes a heartbeat in before anything is committed for it.
 func (l *Leader) observe(now time.Time, hb *wire.Heartbeat, t *table.Table) (newest bool, err error) {
 	l.mu.Lock()
@@ -139,17 +169,12 @@
 	t := l.cfg.State.Table()
 	for _, s := range t.Services() {
 		b := t.Backend(s.File.Service, d.Backend)
-		if b == nil || !b.ByHeartbeat || b.Leaving || b.Lost {
+		if b == nil || !b.ByHeartbeat {
 			continue
 		}
-		res, err := l.commit(ctx, command.Command{BackendReported: &command.BackendReported{
-			Service: b.Service, Backend: b.Name, Born: b.Born, DataCentre: b.DataCentre, Address: b.Address,
-			Slots: b.Slots, Cold: b.Cold, Leaving: true}})
-		if err != nil {
-			return wire.HeartbeatReply{Reason: fmt.Sprintf("recording the end: %v", err)}
+		if err := l.recordLeaving(ctx, b); err != nil {
+			return wire.HeartbeatReply{Reason: err.Error()}
 		}
-		l.cfg.Logger.Info("backend server deregistered", zap.String("backend", d.Backend), zap.String("service", b.Service),
-			zap.Int64("born", b.Born), zap.String("result", string(res.Code)), zap.Uint64("revision", res.Revision))
 	}
 	return wire.HeartbeatReply{Acked: true}
 }
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -157,6 +157,49 @@
 	is.True(!reply.Acked && !reply.Grant)
 }
 
+// Guards against a server whose end is acknowledged without being recorded: the commit
+// failed, and the heartbeat comes once more, or an earlier one comes late.
+func TestLeavingIsAcknowledgedOnlyOnceItIsRecorded(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		back  uint64 // sequences before the first one
+	}{
+		"the same heartbeat at once": {0, 0},
+		"the same heartbeat later":   {3 * time.Second, 0},
+		"an earlier heartbeat":       {0, 1},
+	} {
+		is, r := is.New(t), newReporters(t, 3)
+		hb := *r.beats["b000"]
+		hb.Sequence, hb.Leaving = hb.Sequence+2, true
+		r.fail = ErrDropped
+		is.True(!r.Heartbeat(ctx, hb).Acked)
+		r.clock.Advance(c.after)
+		hb.Sequence -= c.back
+		if r.Heartbeat(ctx, hb).Acked {
+			t.Errorf("%s: acknowledged, but the commit failed", name)
+		}
+		r.fail = nil
+		is.True(r.Heartbeat(ctx, hb).Acked)
+		is.True(r.state.Table().Backend("desk", "b000").Leaving)
+	}
+}
+
+// Guards against keys that are lost because a heartbeat was passed on twice and the
+// second answer, the one that the server gets, renews nothing; and against a copy that
+// comes late and renews.
+func TestRepeatedHeartbeatIsAnsweredInFull(t *testing.T) {
+	is, r := is.New(t), newReporters(t, 3)
+	hb := r.beats["b000"]
+	is.True(r.report("b000").Grant)
+	again := r.Heartbeat(ctx, *hb)
+	is.True(again.Grant)
+	is.Equal(again.Holds, hb.Holds)
+	r.clock.Advance(repeatTime + 1)
+	is.True(!r.Heartbeat(ctx, *hb).Grant)
+}
+
+const repeatTime = time.Second // for which a server waits for an answer
+
 // Guards against a late heartbeat that renews or revives anything, and one of another
 // writer that is recorded.
 func TestLateAndForeignHeartbeats(t *testing.T) {
--- a/internal/keylease/keeper.go
+++ b/internal/keylease/keeper.go
@@ -73,8 +73,13 @@
 	return &Keeper{cfg: cfg, since: since, holders: map[table.BackendRef]*holder{}, freed: map[sliceKey]freed{}, tokens: map[sliceKey]freed{}}
 }
 
-// Observe takes in a heartbeat. It reports whether it is the newest of its
-// process: an older one is acknowledged and changes nothing.
+// repeatTime is how long after its first receipt a heartbeat that comes again is
+// answered as the first one was: a backend server waits a second for an answer, and
+// the host that it called passes its heartbeat on more than once in that time.
+const repeatTime = time.Second
+
+// Observe takes in a heartbeat. It reports whether it is the newest of its process,
+// or that one once more; an older one renews and moves nothing.
 func (k *Keeper) Observe(now time.Time, hb *wire.Heartbeat, slices []table.Slice) (newest bool) {
 	ref := table.BackendRef{Service: hb.Service, Name: hb.Backend}
 	h := k.holders[ref]
@@ -82,8 +87,10 @@
 	case h == nil || h.born < hb.Born:
 		h = &holder{born: hb.Born, granted: k.since, omitted: map[uint64]omission{}}
 		k.holders[ref] = h
-	case h.condemned, h.born > hb.Born, hb.Sequence <= h.sequence:
+	case h.condemned, h.born > hb.Born, hb.Sequence < h.sequence:
 		return false
+	case hb.Sequence == h.sequence:
+		return now.Sub(h.heard) <= repeatTime
 	}
 	h.sequence, h.heard = hb.Sequence, now
 	k.noteFreed(h, hb, slices)
