Let calls wait for a leader lease that has run out instead of refusing them at once

Cause: when many servers leave or come, the leader is short of processor time and gets the answers of its followers late; its lease of 350 ms runs out, with no election. Then it refused each call at once: hosts asked again after 50 ms, control hosts passed each waiting heartbeat on again after 30 ms, renewals asked the same leader four times in a row. The refusals kept the leader busy, so that the lease did not come back. It is an overload that feeds itself by retries.

Ruled out: updates that hosts refuse (no such line); watches that wait for a lost leader last 1.5 s and come after leader losses only.

Change: calls to a leader without its lease wait for it, 250 ms at most, and one goroutine looks for all of them. A watch on another replica waits as long for a leader to be known.

Before: TestCallsWaitForALeaseThatRanOut and TestWatchIsAnsweredOnlyWithAllEarlierCommands fail. After: both pass.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -138,7 +138,10 @@
 	// balanceCost is the time that the last of these decisions took.
 	balanceCost time.Duration
 	wake        chan struct{}
-	election    singleflight.Group
+	// leaseBack is closed when the wait for a lease that has run out is over; nil while
+	// nobody waits.
+	leaseBack chan struct{}
+	election  singleflight.Group
 	// proposals are the commands of operators that are on their way.
 	proposals singleflight.Group
 	// orderly is when a dispatcher last began to give its role up in an orderly
@@ -196,6 +199,7 @@
 // establish commits LeaderElected once per term. Without it, State may lack
 // commands of earlier terms, and a grant could contradict them.
 func (l *Leader) establish(ctx context.Context) error {
+	l.awaitLease(ctx)
 	l.mu.Lock()
 	r, st, ok := l.lead()
 	fresh := l.fresh
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -212,11 +212,14 @@
 func (l *Leader) watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
 	timeout := time.NewTimer(l.cfg.Poll)
 	defer timeout.Stop()
+	l.awaitLeader(ctx)
 	for {
+		// A leader that was cut off, or elected just now, may lack what another one has
+		// acknowledged.
+		err := l.establish(ctx)
 		st := l.cfg.Proposer.Status()
-		if !st.IsLeader || !l.cfg.Clock.Now().Before(st.LeaseUntil) {
-			// A leader that was cut off may lack what another one has acknowledged.
-			return wire.TableReply{Leader: st.LeaderHost, Reason: notLeading(st)}
+		if err != nil {
+			return wire.TableReply{Leader: st.LeaderHost, Reason: err.Error()}
 		}
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
