Look at the table again when a request has got its permit

While it waited, only a new owner of its key was noticed, not that the server leaves, is taken out or is lost; and nothing was looked at once the permit came. Together with the 0.6 s for which a leaving owner is used and the way of the news, that is more than the time to drain. It is a check that is old when it is acted on.

Change: the same check as at the choice is made after each answer of the dispatcher and before the host's own estimate is used; the permit is given back.

Before: TestPermitForALeavingServerIsNotUsed fails in all four cases (200, the server got the request). After: passes.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -58,6 +58,9 @@
 		if answered {
 			return p
 		}
+		if g.retargeted(c, t) {
+			return pass{moved: true}
+		}
 	}
 	if b.Cold {
 		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "the backend server is cold and its dispatcher does not answer"), delay: unableFor}
@@ -102,7 +105,7 @@
 			g.cfg.Logger.Info("dispatcher does not answer", append(c.fields(), zap.String("backend", b.Name),
 				zap.String("dispatcher", b.Dispatcher), zap.String("reason", reply.Reason), logging.Error(err))...)
 			return pass{}, false
-		case reply.State == wire.PermitGranted:
+		case reply.State == wire.PermitGranted && !g.retargeted(c, t):
 			return pass{id: request.ID}, true
 		case reply.State == wire.PermitRefused:
 			wait := time.Duration(reply.WaitMs) * time.Millisecond
@@ -110,7 +113,7 @@
 			return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, reply.Reason), delay: wait}, true
 		}
 		request.Again = true
-		if g.ownerChanged(c, t) {
+		if g.retargeted(c, t) {
 			g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
 			return pass{moved: true}, true
 		}
@@ -123,9 +126,15 @@
 	return g.cfg.Permits.Ask(ctx, b, r)
 }
 
-func (g *Gateway) ownerChanged(c *call, t target) bool {
+// retargeted reports whether a call must not go to its target any more: what the table
+// said when it was chosen may have changed while the call waited.
+func (g *Gateway) retargeted(c *call, t target) bool {
+	b := g.cfg.Tables().Backend(t.backend.Service, t.backend.Name)
+	if b == nil || b.Born != t.backend.Born || !g.mayServeHeld(b, g.cfg.Clock.Now()) {
+		return true
+	}
 	if !c.keyed {
-		return false
+		return b.Leaving || b.Draining
 	}
 	slice, ok := g.cfg.Tables().Lookup(c.service, c.Hash)
 	return !ok || slice.Owner != t.slice.Owner || slice.Epoch != t.slice.Epoch
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,7 +30,8 @@
 	gateway *Gateway
 	server  *httptest.Server
 	permit  wire.PermitReply
-	lost    bool // no dispatcher answers
+	lost    bool   // no dispatcher answers
+	asked   func() // called by each ask, if set
 	ends    []wire.PermitDone
 	asks    int
 
@@ -51,6 +52,9 @@
 
 // Ask implements Permits.
 func (w *world) Ask(context.Context, *table.Backend, wire.PermitAsk) (wire.PermitReply, error) {
+	if w.asked != nil {
+		w.asked()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asks++
@@ -123,9 +127,13 @@
 	return s
 }
 
-func (w *world) put(service, name, address string) {
+func (w *world) put(service, name, address string, change ...func(*table.Backend)) {
 	w.change(func(b *table.Builder) {
-		b.PutBackend(table.Backend{Service: service, Name: name, Address: address, Slots: 4, DataCentre: "dc1", ByHeartbeat: true, Dispatcher: "h2"})
+		r := table.Backend{Service: service, Name: name, Address: address, Slots: 4, DataCentre: "dc1", ByHeartbeat: true, Dispatcher: "h2"}
+		for _, c := range change {
+			c(&r)
+		}
+		b.PutBackend(r)
 	})
 }
 
@@ -305,6 +313,38 @@
 	is.True(!w.gateway.mayServeHeld(out, now.Add(time.Second)))
 }
 
+// Guards against a request that reaches a server long after its end was announced,
+// because it waited for its permit in the meantime.
+func TestPermitForALeavingServerIsNotUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		service, path string
+		change        func(*table.Backend)
+	}{
+		"the owner of a key leaves":       {"desk", "/book/x", func(b *table.Backend) { b.Leaving = true }},
+		"the owner of a key is taken out": {"desk", "/book/x", func(b *table.Backend) { b.Draining = true }},
+		"the owner of a key is lost":      {"desk", "/book/x", func(b *table.Backend) { b.Lost = true }},
+		"a cold server leaves":            {"vault", "/scan/x", func(b *table.Backend) { b.Leaving = true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, w := is.New(t), newWorld(t)
+			w.gateway.cfg.Limits.LeaveFor, w.gateway.cfg.Limits.EvacuateFor = 0, 0
+			w.configure()
+			server := w.backend(c.service, "b1", hello)
+			address := server.Listener.Addr().String()
+			w.put(c.service, "b1", address, func(b *table.Backend) { b.Cold = true })
+			if c.service == "desk" {
+				w.own("b1", 9)
+			}
+			w.asked = func() { w.put(c.service, "b1", address, c.change) }
+			status, _, header := w.ask("POST", c.path, strings.NewReader("order"))
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.Equal(header.Get(verdict.Header), "not-run")
+			is.Equal(w.arrivals(), 0)
+			is.Equal(len(w.ends), 1) // the permit is given back
+		})
+	}
+}
+
 // Guards against a request that is sent without the leave of the dispatcher, and
 // against slots that stay taken after its end. Guards against an ask for each request
 // that a hot server cannot take.
