Stay with a leader that answers when one call to it is late

Cause: the renewal of the session and the watch of the table share a hint at who leads. A renewal that ran out of time, 1 s, turned the hint to the next replica although watches were answered by the leader. On a crowded link each replica that does not lead then costs up to 1 s to say so.

Ruled out: a change of leader; the same replica led from 3 s on.

Change: a call that fails without an answer moves the hint only if the replica has not answered another one as leader since that call was sent.

Before: TestLateCallDoesNotTurnFromTheLeader fails (a1 a1 a2 a3 a1). After: it passes (a1 a1 a1).

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -177,13 +177,16 @@
 		sent := s.cfg.Clock.Now()
 		reply, err := s.call(ctx, address, request)
 		if err == nil && reply.Granted {
+			s.leader.confirm(address, s.cfg.Clock.Now())
 			s.extend(sent, reply)
 			return nil
 		}
-		if err == nil {
-			err = errors.Errorf("%s: %s", address, reply.Reason)
+		if err != nil {
+			last = err
+			s.leader.silent(address, sent)
+			continue
 		}
-		last = err
+		last = errors.Errorf("%s: %s", address, reply.Reason)
 		s.leader.advance(address, reply.Leader)
 	}
 	return errors.Annotate(last, "no control replica renewed the session")
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -188,3 +188,46 @@
 	is.Equal(len(l.asked), 0) // renewals have connections of their own
 	is.Equal(s.patience, s.cfg.CallTimeout)
 }
+
+// crowded is a link on which the first renewal is late. Watches may come through.
+type crowded struct {
+	*leaders
+	session *Session
+	watch   bool // a watch is answered while the renewal is on its way
+	late    bool
+}
+
+func (c *crowded) Call(ctx context.Context, address, method string, params, result any) error {
+	if method != wire.MethodSessionRenew || c.late {
+		return c.leaders.Call(ctx, address, method, params, result)
+	}
+	c.late = true
+	c.asked = append(c.asked, address)
+	c.clock.Advance(time.Millisecond)
+	if c.watch {
+		if err := c.session.Watch(ctx); err != nil {
+			return err
+		}
+	}
+	return context.DeadlineExceeded
+}
+
+// Guards against a host on a crowded link that turns from the leader to replicas that
+// do not lead because one of its calls is late, and against one that stays with a
+// replica that is silent.
+func TestLateCallDoesNotTurnFromTheLeader(t *testing.T) {
+	for _, c := range []struct {
+		watch bool
+		asked string
+	}{
+		{true, "a1 a1 a1"}, // the late renewal, the watch, the renewal again
+		{false, "a1 a2 a3 a1"},
+	} {
+		is, s, l := newSession(t)
+		link := &crowded{leaders: l, session: s, watch: c.watch}
+		s.cfg.Caller, s.cfg.WatchCaller = link, link
+		is.NoErr(s.Renew(context.Background()))
+		is.Equal(strings.Join(l.asked, " "), c.asked)
+		is.Equal(s.Leader(), "a1")
+	}
+}
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -46,7 +46,7 @@
 		if errors.Is(err, context.DeadlineExceeded) {
 			s.patience = min(2*s.patience, maxPatience)
 		}
-		s.leader.advance(address, "")
+		s.leader.silent(address, sent)
 		return s.watchFailed(address, sent, errors.Trace(err))
 	}
 	s.patience = s.cfg.CallTimeout
@@ -55,6 +55,7 @@
 		return s.watchFailed(address, sent, errors.Errorf("%s: %s", address, reply.Reason))
 	}
 	s.failure = ""
+	s.leader.confirm(address, s.cfg.Clock.Now())
 	return s.apply(answer{TableReply: reply, from: address, sent: sent})
 }
 
@@ -156,6 +157,8 @@
 	mu       sync.Mutex
 	replicas []Replica
 	current  int
+	// answered is when the current replica last answered as the leader.
+	answered time.Time
 }
 
 func newLeaderHint(replicas []Replica) *leaderHint { return &leaderHint{replicas: replicas} }
@@ -185,6 +188,27 @@
 	return len(h.replicas) + 1
 }
 
+// confirm takes note of an answer that only the leader gives.
+func (h *leaderHint) confirm(from string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.replicas[h.current].Address == from {
+		h.answered = now
+	}
+}
+
+// silent moves on from a replica that did not answer a call sent at a time, unless it
+// has answered another one as the leader since: on a crowded link one call may be late
+// while others come through, and every other replica would only name it again.
+func (h *leaderHint) silent(from string, sent time.Time) {
+	h.mu.Lock()
+	led := h.answered.After(sent)
+	h.mu.Unlock()
+	if !led {
+		h.advance(from, "")
+	}
+}
+
 // advance moves on from a replica that did not answer as leader, to the host
 // that it named as leader or to the next one. A replica that refuses but names
 // itself leads, and stays the current one.
@@ -203,5 +227,5 @@
 	if at < 0 {
 		at = (h.current + 1) % len(h.replicas)
 	}
-	h.current = at
+	h.current, h.answered = at, time.Time{}
 }
