Give up a backend server that sends bytes without end before its answer

Cause: status lines and headers were read into memory whatever their length, interim answers and answers to other requests were passed over for as long as they came, and the body of an answer without an id was read to its end before its connection was closed.

Ruled out as unbounded: bodies of answers with the request's id, which are passed on in pieces and end with the request; chunk lengths and trailers, which the library bounds.

Change: all that comes before the body of the answer is 1 MiB at most; a body that belongs to nobody is not read. The failure says that the request may have run.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -267,14 +267,21 @@
 	return err
 }
 
-// maxStray bounds the answers to other requests that are passed over.
-const maxStray = 3
+const (
+	// maxStray bounds the answers to other requests that are passed over.
+	maxStray = 3
+	// maxHeadBytes bounds all that comes before the body of the answer: interim
+	// answers, heads, and the bodies of answers to other requests.
+	maxHeadBytes = 1 << 20
+)
 
 var errForeign = errors.New("the answer carries no or another request id")
 
 // read returns the answer to this request. Answers with another id, which a
 // faulty backend server sends again or late, are read and dropped.
 func (x *exchange) read() (*http.Response, error) {
+	x.conn.input.left = maxHeadBytes
+	defer func() { x.conn.input.left = unbounded }()
 	for range maxStray + 1 {
 		resp, err := x.readOne()
 		if err != nil {
@@ -286,8 +293,7 @@
 		}
 		x.stray = true
 		if id == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			_ = resp.Body.Close()
-			return nil, errForeign
+			return nil, errForeign // closing the body would read it to its end
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
@@ -402,7 +408,7 @@
 	}
 	var timeout net.Error
 	switch {
-	case errors.Is(err, errForeign):
+	case errors.Is(err, errForeign), errors.Is(err, errTooLong):
 		e.Reason, e.Detail = verdict.ReasonForeignAnswer, err.Error()
 	case errors.As(err, &timeout) && timeout.Timeout():
 		e.Detail = "the backend server's host went silent"
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -24,14 +26,41 @@
 // conn is one connection to a backend server. One request uses it at a time.
 type conn struct {
 	net.Conn
-	pool *pool
-	br   *bufio.Reader
-	bw   *bufio.Writer
+	pool  *pool
+	input *boundedReader // what br reads from
+	br    *bufio.Reader
+	bw    *bufio.Writer
 	// until is when the backend server may close the connection while it is idle.
 	until time.Time
 	idle  time.Time // since when it is idle
 }
 
+// unbounded lets a boundedReader read on.
+const unbounded = -1
+
+// errTooLong means that a server sent more than an answer's head, or a stray answer,
+// may have.
+var errTooLong = errors.New("the server sent too many bytes that are no answer")
+
+// boundedReader fails once more than a bound was read.
+type boundedReader struct {
+	r    io.Reader
+	left int // bytes, or unbounded
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left == unbounded {
+		return b.r.Read(p)
+	}
+	if b.left == 0 {
+		return 0, errTooLong
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
 // pool holds the idle connections to one address, the last used one at the end.
 type pool struct {
 	address string
@@ -190,7 +219,8 @@
 	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
-	return &conn{Conn: raw, pool: p, br: bufio.NewReaderSize(raw, readBufferBytes), bw: bufio.NewWriterSize(raw, writeBufferBytes)}, nil
+	input := &boundedReader{r: raw, left: unbounded}
+	return &conn{Conn: raw, pool: p, input: input, br: bufio.NewReaderSize(input, readBufferBytes), bw: bufio.NewWriterSize(raw, writeBufferBytes)}, nil
 }
 
 // setUserTimeout is an optimisation of failure detection: a system without the
--- /dev/null
+++ b/internal/upstream/endless_test.go
@@ -0,0 +1,86 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// flooding writes a start and then the same bytes until the other side closes.
+func flooding(t *testing.T, start, more string) (address string, written <-chan int) {
+	total := make(chan int, 1)
+	block := []byte(strings.Repeat(more, 1+4096/len(more)))
+	address = backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		n, err := io.WriteString(c, start)
+		for err == nil {
+			var m int
+			m, err = c.Write(block)
+			n += m
+		}
+		total <- n
+	})
+	return address, total
+}
+
+// What a client may read of bytes that are no answer, with what the kernel holds of
+// them on both sides.
+const endlessBound = 16 << 20
+
+// A faulty server sends bytes that are no answer until its caller closes. Guards
+// against a host that reads them into its memory, or until the time of the request is
+// over, which is needed for another attempt.
+func TestBytesWithoutEndAreGivenUp(t *testing.T) {
+	stray := func(framing string) string { return "HTTP/1.1 200 OK\r\nId: other\r\n" + framing + "\r\n\r\n" }
+	for name, c := range map[string]struct{ start, more string }{
+		"a status line":                 {"HTTP/1.1 200 ", "x"},
+		"no line at all":                {"", "\x00\xff"},
+		"empty lines":                   {"", "\r\n"},
+		"a header":                      {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"headers":                       {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"interim answers":               {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"answers to others":             {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+		"a chunked answer to another":   {stray("Transfer-Encoding: chunked"), "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"},
+		"a long answer to another":      {stray("Content-Length: 1000000000000"), "x"},
+		"an unframed answer to another": {stray("A: b"), "x"},
+		"an answer without an id":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, written := flooding(t, c.start, c.more)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			_, failure := newClient().Do(ctx, request(address, "a"))
+			is.True(failure != nil)
+			is.Equal(failure.Verdict, verdict.MayHaveRun)
+			is.NoErr(ctx.Err()) // not given up for want of time
+			is.True(<-written < endlessBound)
+		})
+	}
+}
+
+// Guards against an answer without end that outlasts its request.
+func TestBodyWithoutEndStopsWithItsRequest(t *testing.T) {
+	is := is.New(t)
+	address, written := flooding(t, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n")
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, failure := newClient().Do(ctx, request(address, "a"))
+	is.True(failure == nil)
+	_, err := io.CopyN(io.Discard, resp.Body, 1<<20)
+	is.NoErr(err)
+	cancel()
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.True(err != nil) // it must not look complete
+	<-written
+	is.NoErr(resp.Body.Close())
+}
