Answer a watch with all changes that the host lacks

Cause: a delta of 200 changes or more is sent alone, because it is encoded once for all hosts, so a host that is behind asked once for each and for what lies between.

Change: an answer carries further deltas after the first, up to 48 KB. Each is still encoded once. A part that does not fit refuses the whole answer.

Before: TestHostThatIsBehindGetsAllChangesAtOnce fails (with addDeltas taken out, since the field is new). After: passes.

--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -8,6 +9,9 @@
 	"github.com/matryer/is"
 
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/items"
+	"github.com/agatestep/agatestep/internal/pack"
+	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -61,3 +65,31 @@
 	is.Equal(reply.Reason, "")
 	is.Equal(reply.Current, g.state.Table().Revision())
 }
+
+// A host behind by several large changes. Guards against one that asks for each of them
+// over a crowded link, and stays behind.
+func TestHostThatIsBehindGetsAllChangesAtOnce(t *testing.T) {
+	is, g := is.New(t), newGroup()
+	for version := 1; version <= 5; version++ {
+		list := deskItems(uint64(version))
+		for i := range largeChanges {
+			list = append(list, items.Item{Key: items.Key{Kind: items.KindRoute, Name: fmt.Sprint("r", i)}, Version: uint64(version),
+				Route: &items.Route{Host: "a", PathPrefix: fmt.Sprint("/", i, "/"), Timeout: time.Second, Shares: []items.Share{{Service: "desk", Weight: 1}}}})
+		}
+		g.must(t, command.Command{PatchItems: &command.PatchItems{Items: list}})
+		g.must(t, command.Command{BackendReported: &command.BackendReported{Service: "desk", Backend: "b", Born: int64(version), DataCentre: "dc1",
+			Address: "10.0.0.1:80", Slots: 1}})
+	}
+	reply := g.Watch(ctx, wire.TableWatch{Host: "h1", Revision: 1})
+	at := uint64(1)
+	for _, packed := range append([][]byte{reply.Delta}, reply.More...) {
+		encoded, err := pack.Unpack(packed)
+		is.NoErr(err)
+		d, err := table.DecodeDelta(encoded)
+		is.NoErr(err)
+		is.Equal(d.Base, at)
+		at = d.Revision
+	}
+	is.Equal(at, g.state.Table().Revision())
+	is.Equal(reply.Revision, at)
+}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -209,6 +209,25 @@
 	return reply
 }
 
+// maxAnswerBytes is the size of an answer to a watch up to which further deltas are
+// added: a tenth of a second on a link of a few megabits.
+const maxAnswerBytes = 48 << 10
+
+// addDeltas adds the deltas that follow those of an answer. A host that is behind
+// would have to ask for each of them.
+func (l *Leader) addDeltas(reply *wire.TableReply) {
+	size := len(reply.Delta) + len(reply.Snapshot)
+	for size < maxAnswerBytes {
+		delta, _, revision := l.cfg.State.Changes(reply.Revision)
+		if delta == nil {
+			return
+		}
+		reply.More = append(reply.More, delta)
+		reply.Revision = revision
+		size += len(delta)
+	}
+}
+
 func (l *Leader) watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
 	timeout := time.NewTimer(l.cfg.Poll)
 	defer timeout.Stop()
@@ -224,7 +243,10 @@
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
 		if delta != nil || snapshot != nil {
-			return wire.TableReply{Revision: revision, Current: l.cfg.State.Table().Revision(), Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost}
+			reply := wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost}
+			l.addDeltas(&reply)
+			reply.Current = l.cfg.State.Table().Revision()
+			return reply
 		}
 		select {
 		case <-changed:
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -231,3 +231,22 @@
 		is.Equal(s.Leader(), "a1")
 	}
 }
+
+// Guards against deltas of one answer that are lost or applied to the wrong table.
+func TestDeltasOfOneAnswerAreAppliedInOrder(t *testing.T) {
+	is, s, l := newSession(t)
+	delta := func(base, revision uint64) []byte {
+		encoded, err := table.NewBuilder(base).Delta(revision).Encode()
+		is.NoErr(err)
+		encoded, err = pack.Pack(encoded)
+		is.NoErr(err)
+		return encoded
+	}
+	l.table = wire.TableReply{Delta: delta(0, 3), More: [][]byte{delta(3, 4), delta(4, 9)}, Current: 9}
+	is.NoErr(s.Watch(context.Background()))
+	is.Equal(s.Table().Revision(), uint64(9))
+	is.Equal(s.AsOf(), l.clock.Now())
+	l.table = wire.TableReply{Delta: delta(9, 10), More: [][]byte{delta(11, 12)}, Current: 12}
+	is.True(s.Watch(context.Background()) != nil)
+	is.Equal(s.Table().Revision(), uint64(9)) // all or none
+}
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -80,6 +80,15 @@
 // held is how long the replica waited for a change.
 func (a *answer) held() time.Duration { return time.Duration(a.HeldMs) * time.Millisecond }
 
+// size is the bytes of tables in the answer.
+func (a *answer) size() int {
+	size := len(a.Snapshot) + len(a.Delta)
+	for _, more := range a.More {
+		size += len(more)
+	}
+	return size
+}
+
 func (s *Session) apply(reply answer) error {
 	current := s.Table()
 	next, err := nextTable(current, reply.TableReply)
@@ -100,7 +109,7 @@
 	}
 	s.cfg.Logger.Info("routing table taken", zap.Uint64("revision", next.Revision()), zap.Uint64("from", current.Revision()),
 		zap.Uint64("leader_revision", reply.Current), zap.String("replica", reply.from), zap.Bool("whole", len(reply.Snapshot) > 0),
-		zap.Int("bytes", len(reply.Snapshot)+len(reply.Delta)), zap.Duration("held", reply.held()), zap.Duration("way", way))
+		zap.Int("bytes", reply.size()), zap.Duration("held", reply.held()), zap.Duration("way", way))
 	s.table.Store(next)
 	s.noteComplete(next.Revision(), reply.Current)
 	if s.cfg.OnTable != nil {
@@ -130,6 +139,18 @@
 
 // nextTable never goes back: a revision lower than the current one is ignored.
 func nextTable(current *table.Table, reply wire.TableReply) (*table.Table, error) {
+	next, err := firstTable(current, reply)
+	for _, more := range reply.More {
+		if err != nil {
+			break
+		}
+		next, err = applyDelta(next, more)
+	}
+	return next, err
+}
+
+// firstTable applies the snapshot or the first delta of an answer.
+func firstTable(current *table.Table, reply wire.TableReply) (*table.Table, error) {
 	switch {
 	case len(reply.Snapshot) > 0:
 		encoded, err := pack.Unpack(reply.Snapshot)
@@ -138,20 +159,24 @@
 		}
 		return table.DecodeSnapshot(encoded)
 	case len(reply.Delta) > 0:
-		encoded, err := pack.Unpack(reply.Delta)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		delta, err := table.DecodeDelta(encoded)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		return current.Apply(delta)
+		return applyDelta(current, reply.Delta)
 	default:
 		return current, nil
 	}
 }
 
+func applyDelta(t *table.Table, packed []byte) (*table.Table, error) {
+	encoded, err := pack.Unpack(packed)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	delta, err := table.DecodeDelta(encoded)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return t.Apply(delta)
+}
+
 // leaderHint remembers where the leader was last seen.
 type leaderHint struct {
 	mu       sync.Mutex
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -106,8 +106,10 @@
 	Current  uint64 `json:"current,omitempty"`
 	Snapshot []byte `json:"snapshot,omitempty"`
 	Delta    []byte `json:"delta,omitempty"`
-	Leader   string `json:"leader,omitempty"`
-	Reason   string `json:"reason,omitempty"`
+	// More are further deltas, each for the table that the one before leads to.
+	More   [][]byte `json:"more,omitempty"`
+	Leader string   `json:"leader,omitempty"`
+	Reason string   `json:"reason,omitempty"`
 	// HeldMs is how long the replica held the watch before it answered.
 	HeldMs int64 `json:"held_ms,omitempty"`
 }
