Acknowledge a change once the hosts in touch have it

Cause: an acknowledgement was given as soon as a majority had stored the change, and the bound of 2 s then ran for hosts that had not heard of it. Nothing between the leader and the callers noticed a host that was behind, although each host says with every watch which revision it has.

Ruled out: a lease on the table at the host. It would keep the promise for hosts that are cut off too, but make all hosts refuse everything while the control group has no leader, when nothing can be acknowledged anyway.

Change: the answers to a server's end and to a patch wait until the hosts that asked for the table in the last 2 s have the change, 500 ms at most; then a line names the hosts that lack it. Hosts are not waited for once they are silent.

It moves the bound by what a host is behind, up to 500 ms; a host that is further behind still breaks it.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -138,6 +138,10 @@
 	// balanceCost is the time that the last of these decisions took.
 	balanceCost time.Duration
 	wake        chan struct{}
+	// followers are the entry hosts that asked this leader for the table, by name, and
+	// promises the changes whose acknowledgement waits for them.
+	followers map[string]follower
+	promises  map[string]promise
 	// leaseBack is closed when the wait for a lease that has run out is over; nil while
 	// nobody waits.
 	leaseBack chan struct{}
@@ -163,12 +167,14 @@
 	l.keeper = keylease.NewKeeper(keylease.Config{Hold: l.cfg.BackendHold, MaxClockDrift: backendClockDrift, MaxRanges: maxHeldRanges}, since)
 	l.staged, l.arrivals, l.repaired = newStaged(), map[string]arrivals{}, map[string]look{}
 	l.balanced, l.again = time.Time{}, false
+	l.followers, l.promises = map[string]follower{}, map[string]promise{}
 }
 
 // leadership is proof that this process held the leader lease at a moment.
 type leadership struct {
-	now  time.Time // the lease was held at this time
-	term uint64
+	now       time.Time // the lease was held at this time
+	term      uint64
+	electedAt time.Time
 	// graceEnds is when sessions granted by earlier leaders are surely over.
 	graceEnds time.Time
 }
@@ -187,7 +193,7 @@
 	if st.Term != l.term {
 		l.reset(st.Term, st.ElectedAt)
 	}
-	return leadership{now: now, term: st.Term, graceEnds: st.ElectedAt.Add(l.sessionSpan())}, st, true
+	return leadership{now: now, term: st.Term, electedAt: st.ElectedAt, graceEnds: st.ElectedAt.Add(l.sessionSpan())}, st, true
 }
 
 // sessionSpan is the time after which a session that was granted is over by the
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -42,6 +42,7 @@
 		l.noteOrderly()
 	}
 	if reply, done := l.heldAlready(c); done {
+		l.awaitHosts(ctx, operatorPromise)
 		return reply
 	}
 	encoded, err := l.proposeOnce(ctx, req.Command)
@@ -53,6 +54,10 @@
 		return wire.ProposalReply{Status: wire.ProposalUnknown, Reason: err.Error()}
 	}
 	reply := wire.ProposalReply{Status: wire.ProposalApplied, Leader: l.cfg.Proposer.Status().LeaderHost, Result: res}
+	if c.PatchItems != nil && res.Code == command.ResultOK {
+		l.promised(operatorPromise, res.Revision)
+		l.awaitHosts(ctx, operatorPromise)
+	}
 	if req.WaitInForce && res.Code == command.ResultOK {
 		l.awaitInForce(ctx, res.Revision, time.Duration(req.WaitMs)*time.Millisecond, &reply)
 	}
@@ -240,6 +245,7 @@
 		if err != nil {
 			return wire.TableReply{Leader: st.LeaderHost, Reason: err.Error()}
 		}
+		l.noteFollower(req.Host, req.Revision)
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
 		if delta != nil || snapshot != nil {
