Copy no configuration items and count no roles for changes that concern neither

Cause: each change of the table copied the map of all configuration items, some 1,500 on the grown sites, also if it changed none, and each report of a server counted the roles of all servers, also if its dispatchers were present. That was done on five control hosts for each commit and on 83 entry hosts for each answer to a watch, hundreds of times a second when a data centre returns. BenchmarkApplyReport has 396 servers, but neither items nor hosts, so it did not show it.

Change: the items are copied for the first one that changes; the roles are counted if a dispatcher is absent.

--- a/internal/fleet/dispatchers.go
+++ b/internal/fleet/dispatchers.go
@@ -36,6 +36,10 @@
 // backend servers that are absent. A dispatcher that has a session is never replaced, because it may
 // still send to the backend server.
 func (f *Fleet) assignDispatchers(index uint64, refs ...table.BackendRef) {
+	settled := func(ref table.BackendRef) bool { return f.hasDispatchers(f.backends[ref]) }
+	if !slices.ContainsFunc(refs, func(ref table.BackendRef) bool { return !settled(ref) }) {
+		return // counting the roles looks at all backend servers
+	}
 	r := f.countRoles()
 	for _, ref := range refs {
 		b := f.backends[ref]
@@ -61,6 +65,12 @@
 	}
 }
 
+// hasDispatchers reports whether the dispatchers of a backend server are present.
+func (f *Fleet) hasDispatchers(b *Backend) bool {
+	return f.Host(b.Dispatcher) != nil && (b.NextDispatcher == "" || f.Host(b.NextDispatcher) != nil) &&
+		f.Host(b.StandbyDispatcher) != nil && b.StandbyDispatcher != b.Dispatcher
+}
+
 // withoutLease returns the backend servers of a lost dispatcher that hold no lease.
 // One that changed after the decision may hold a lease of its dispatcher before.
 func (f *Fleet) withoutLease(l *command.HostLost) []*Backend {
--- a/internal/items/set.go
+++ b/internal/items/set.go
@@ -38,11 +38,18 @@
 // version is not above the one that the set has changes nothing.
 func (s *Set) Apply(patch []Item) (*Set, []Item) {
 	var changed []Item
-	next := maps.Clone(s.items)
+	var next map[Key]Item // cloned for the first item that changes: most patches are empty
 	for _, item := range patch {
-		if old, ok := next[item.Key]; ok && item.Version <= old.Version {
+		have := s.items
+		if next != nil {
+			have = next
+		}
+		if old, ok := have[item.Key]; ok && item.Version <= old.Version {
 			continue
 		}
+		if next == nil {
+			next = maps.Clone(s.items)
+		}
 		next[item.Key] = item
 		changed = append(changed, item)
 	}
