Go on opening a connection after its caller has given up

What callers saw: an entry host that answered 503 for 13.8 s after a start, because it had no configuration; thousands of requests refused with 'no connection to the backend server' from hosts on crowded links.

Cause: the opening of a connection ended with the wait of its caller, 400 ms towards other hosts and 250 ms towards backend servers. On a crowded link it takes longer, each caller began anew, and no connection was ever open.

Ruled out: a leader that does not accept connections; 82 other hosts got theirs in that time.

Each caller still begins one of its own, up to eight to an address, so that a link that was repaired is found at once. Connections that are being opened count towards the share of a backend server.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,9 +15,18 @@
 	"github.com/agatestep/agatestep/internal/timeline"
 )
 
-// dialTimeout bounds the opening of a connection, so that a lost host costs a
-// caller less than one renewal interval of its session.
-const dialTimeout = 150 * time.Millisecond
+const (
+	// dialTimeout bounds the wait for a connection, so that a lost host costs a caller
+	// less than one renewal interval of its session.
+	dialTimeout = 150 * time.Millisecond
+	// dialPatience bounds the opening of a connection after its caller has given up. On
+	// a crowded link it takes longer than callers wait; if each began anew, none would
+	// ever be open. A SYN that was lost is sent again after a second.
+	dialPatience = 2500 * time.Millisecond
+	// maxDialing bounds the connections to one address that are being opened. Several
+	// find a link that was repaired sooner than one between two SYNs.
+	maxDialing = 8
+)
 
 // handshakeTimeout bounds the TLS handshake on a new connection.
 const handshakeTimeout = 300 * time.Millisecond
@@ -31,11 +40,23 @@
 type Client struct {
 	clock  *timeline.Clock
 	config *tls.Config
-	// DialTimeout bounds the opening of a connection. It is set before the first use.
+	// DialTimeout bounds the wait for a connection. It is set before the first use.
 	DialTimeout time.Duration
+	// open is net.Dialer except in tests.
+	open func(ctx context.Context, address string) (net.Conn, error)
+
+	mu      sync.Mutex
+	conns   map[string]*conn
+	dialing map[string]*dialing
+	closed  bool
+}
 
-	mu    sync.Mutex
-	conns map[string]*conn
+// dialing is the opening of connections to one address.
+type dialing struct {
+	count int
+	// opened is closed with the first connection.
+	opened chan struct{}
+	once   sync.Once
 }
 
 // conn is a connection that knows when the other side last answered on it.
@@ -46,7 +67,7 @@
 
 // NewClient returns a client; a nil TLS configuration means plain TCP.
 func NewClient(clock *timeline.Clock, config *tls.Config) *Client {
-	return &Client{clock: clock, config: config, DialTimeout: dialTimeout, conns: map[string]*conn{}}
+	return &Client{clock: clock, config: config, DialTimeout: dialTimeout, open: openTCP, conns: map[string]*conn{}, dialing: map[string]*dialing{}}
 }
 
 // Call calls a method at an address and waits for its result.
@@ -105,6 +126,7 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for address, conn := range c.conns {
 		_ = conn.Close()
 		delete(c.conns, address)
@@ -112,24 +134,82 @@
 }
 
 func (c *Client) conn(ctx context.Context, address string) (*conn, error) {
-	c.mu.Lock()
-	known, ok := c.conns[address]
-	c.mu.Unlock()
-	if ok && !disconnected(known) {
+	known, opened, failed := c.connect(address)
+	if known != nil {
 		return known, nil
 	}
-	fresh, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, errors.WithType(errors.Annotatef(err, "connecting to %s", address), ErrNotConnected)
+	timer := time.NewTimer(c.DialTimeout)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-opened:
+		if known := c.connected(address); known != nil {
+			return known, nil
+		}
+		err = errors.New("the connection was closed at once")
+	case err = <-failed:
+	case <-timer.C:
+		err = errors.Annotate(context.DeadlineExceeded, "opening the connection")
+	case <-ctx.Done():
+		err = ctx.Err()
 	}
+	return nil, errors.WithType(errors.Annotatef(err, "connecting to %s", address), ErrNotConnected)
+}
+
+func (c *Client) connected(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.conns[address]; ok && !disconnected(known) {
+		return known
+	}
+	return nil
+}
+
+// connect returns the connection to an address, or begins to open one. opened is
+// closed once there is one, whoever opened it; failed gets the error of this opening.
+func (c *Client) connect(address string) (known *conn, opened <-chan struct{}, failed <-chan error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other, ok := c.conns[address]; ok && !disconnected(other) {
+	if known, ok := c.conns[address]; ok && !disconnected(known) {
+		return known, nil, nil
+	}
+	d := c.dialing[address]
+	if d == nil {
+		d = &dialing{opened: make(chan struct{})}
+		c.dialing[address] = d
+	}
+	if d.count >= maxDialing {
+		return nil, d.opened, nil
+	}
+	d.count++
+	result := make(chan error, 1)
+	go c.openInto(address, d, result)
+	return nil, d.opened, result
+}
+
+// openInto opens a connection and keeps it unless another one came first.
+func (c *Client) openInto(address string, d *dialing, failed chan<- error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialPatience)
+	defer cancel()
+	fresh, err := c.dial(ctx, address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d.count--; d.count == 0 && c.dialing[address] == d {
+		delete(c.dialing, address)
+	}
+	if err != nil {
+		failed <- err
+		return
+	}
+	if other, ok := c.conns[address]; c.closed || ok && !disconnected(other) {
 		_ = fresh.Close()
-		return other, nil
+		return
 	}
 	c.conns[address] = fresh
-	return fresh, nil
+	d.once.Do(func() { close(d.opened) })
+	if c.dialing[address] == d {
+		delete(c.dialing, address) // later callers wait for a later connection
+	}
 }
 
 func disconnected(c *conn) bool {
@@ -142,8 +222,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := &net.Dialer{Timeout: c.DialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.open(ctx, address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -161,6 +240,10 @@
 	return &conn{Conn: jsonrpc2.NewConn(context.Background(), stream, handlerFunc(refuse), quiet)}, nil
 }
 
+func openTCP(ctx context.Context, address string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
 func (c *Client) secure(ctx context.Context, raw net.Conn, address string) (net.Conn, error) {
 	config := c.config.Clone()
 	host, _, err := net.SplitHostPort(address)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,3 +125,50 @@
 	close(release)
 	is.NoErr(<-first)
 }
+
+// A crowded link, on which the opening of a connection takes longer than a caller waits.
+// Guards against callers that give each opening up and begin anew, so that no connection
+// is ever open.
+func TestSlowOpeningServesLaterCalls(t *testing.T) {
+	is := is.New(t)
+	_, address := echo(t, nil, bound)
+	c := NewClient(timeline.NewClock(time.Now), nil)
+	defer c.Close()
+	c.DialTimeout = time.Millisecond
+	given := make(chan struct{})
+	c.open = func(ctx context.Context, address string) (net.Conn, error) {
+		select {
+		case <-given: // the first caller has given up
+			return openTCP(ctx, address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	_, err := call(c, address, "echo", bound)
+	is.True(errors.Is(err, ErrNotConnected))
+	close(given)
+	for !c.Connected(address) {
+		time.Sleep(time.Millisecond)
+	}
+	out, err := call(c, address, "echo", bound)
+	is.NoErr(err)
+	is.Equal(out, "hello")
+}
+
+// Guards against openings without bound to an address that does not answer.
+func TestOpeningsToOneAddressAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(timeline.NewClock(time.Now), nil)
+	defer c.Close()
+	c.DialTimeout = time.Millisecond
+	var begun atomic.Int32
+	c.open = func(ctx context.Context, _ string) (net.Conn, error) {
+		begun.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for range 4 * maxDialing {
+		is.True(c.Connect(context.Background(), "127.0.0.1:1") != nil)
+	}
+	is.True(begun.Load() <= maxDialing)
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -22,7 +22,8 @@
 type Config struct {
 	// IDHeader is the header in which a backend server repeats the request's id.
 	IDHeader string
-	// DialTimeout bounds the opening of a connection.
+	// DialTimeout bounds the wait for a connection that is being opened. One that comes
+	// later serves another request.
 	DialTimeout time.Duration
 	// UserTimeout is how long sent data may stay unacknowledged.
 	UserTimeout time.Duration
@@ -45,12 +46,19 @@
 	// Opened and Reused count the connections that requests got.
 	Opened, Reused atomic.Int64
 
+	// dialer is dialTCP except in tests.
+	dialer func(ctx context.Context, address string) (net.Conn, error)
+
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
 // New returns a client without connections.
-func New(cfg Config) *Client { return &Client{cfg: cfg, pools: map[string]*pool{}} }
+func New(cfg Config) *Client {
+	c := &Client{cfg: cfg, pools: map[string]*pool{}}
+	c.dialer = c.dialTCP
+	return c
+}
 
 func (c *Client) pool(address string) *pool {
 	c.mu.Lock()
@@ -161,13 +169,48 @@
 	if !p.makeRoom(req.MaxOpen) {
 		return nil, false, errConnections
 	}
-	cn, err = c.dial(ctx, p)
+	cn, err = c.open(ctx, p)
 	if err == nil {
 		c.Opened.Add(1)
 	}
 	return cn, false, err
 }
 
+// open opens a connection. One that takes longer than the request may wait is kept for
+// the next one: on a crowded link, requests that each began anew would never have any.
+func (c *Client) open(ctx context.Context, p *pool) (*conn, error) {
+	type outcome struct {
+		conn *conn
+		err  error
+	}
+	result := make(chan outcome, 1)
+	go func() {
+		cn, err := c.dial(p)
+		result <- outcome{cn, err}
+	}()
+	timer := time.NewTimer(c.cfg.DialTimeout)
+	defer timer.Stop()
+	var err error
+	select {
+	case o := <-result:
+		return o.conn, o.err
+	case <-timer.C:
+		err = errOpening
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	go func() {
+		if o := <-result; o.err == nil {
+			o.conn.release(c.cfg.Clock.Now(), c.cfg.MaxIdle)
+			c.Opened.Add(1)
+		}
+	}()
+	return nil, err
+}
+
+// errOpening means that the connection was not open in time.
+var errOpening = errors.New("the connection takes too long to open")
+
 // errConnections means that this host uses its share of a server's connections.
 var errConnections = errors.New("this host's share of the connections is in use")
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -350,3 +350,38 @@
 	least := time.Duration(float64(2*size-BodyChunk) / perSecond * float64(time.Second))
 	is.True(time.Since(began) >= least)
 }
+
+// A crowded link, on which the opening of a connection takes longer than a request may
+// wait. Guards against requests that each begin anew, so that none gets a connection.
+func TestSlowOpeningServesTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		if req, err := readRequest(r); err == nil {
+			answer(c, req.Header.Get("Id"), "hello")
+		}
+	})
+	client := newClient()
+	client.cfg.DialTimeout = time.Millisecond
+	given := make(chan struct{})
+	client.dialer = func(ctx context.Context, address string) (net.Conn, error) {
+		select {
+		case <-given: // the first request has given up
+			return client.dialTCP(ctx, address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	_, failure := get(t, client, request(address, "a"))
+	is.True(failure != nil)
+	is.Equal(failure.Verdict, verdict.NotRun)
+	is.Equal(failure.Reason, verdict.ReasonConnect)
+	close(given)
+	for client.Opened.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	client.dialer = func(context.Context, string) (net.Conn, error) { return nil, errors.New("not needed") }
+	got, failure := get(t, client, request(address, "b"))
+	is.True(failure == nil)
+	is.Equal(got, "hello")
+	is.Equal(client.Reused.Load(), int64(1))
+}
