Tell callers when to return to a host without a configuration

What callers saw: after a start of all hosts, each attempt was refused within 250 ms, and all their attempts were used up before any host had a table.

Change: such a refusal says 0.8 to 1.04 s, spread, in which an election and the first table follow a start. Refusals that stay true carry none, as before.

Before: TestCallersReturnOnceThereMayBeAConfiguration fails (no header). After: passes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -313,6 +314,26 @@
 	is.True(!w.gateway.mayServeHeld(out, now.Add(time.Second)))
 }
 
+// All hosts start at once, and none has a configuration yet. Guards against callers that
+// use up their attempts within milliseconds because nothing tells them when to return, and
+// against callers that all return at the same moment.
+func TestCallersReturnOnceThereMayBeAConfiguration(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	times := map[string]bool{}
+	for range 4 {
+		status, _, header := w.ask("GET", "/read/x", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after >= configurationRetry.Seconds() && after <= (1+retrySpread)*configurationRetry.Seconds())
+		times[header.Get("Retry-After")] = true
+	}
+	is.True(len(times) > 1)
+	w.configure()
+	_, _, header := w.ask("GET", "/unknown/x", nil)
+	is.Equal(header.Get("Retry-After"), "") // it will not be served later either
+}
+
 // Guards against a request that reaches a server long after its end was announced,
 // because it waited for its permit in the meantime.
 func TestPermitForALeavingServerIsNotUsed(t *testing.T) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,7 +32,7 @@
 	g.awaitConfiguration(r.Context())
 	c, refusal := g.read(w, r, g.cfg.Tables(), now)
 	if refusal != nil {
-		g.refuse(w, r, c, refusal, 0)
+		g.refuse(w, r, c, refusal, returnAfter(refusal))
 		return
 	}
 	ctx, cancel := c.context()
@@ -45,6 +45,19 @@
 	g.answer(w, c, resp)
 }
 
+// configurationRetry is when a caller returns to a host that had no configuration: an
+// election and the way of the table take about as long after a start.
+const configurationRetry = 800 * time.Millisecond
+
+// returnAfter is when the caller of a request that was refused as it was read should
+// return; zero means that it would be refused again.
+func returnAfter(e *verdict.Error) time.Duration {
+	if e.Reason != verdict.ReasonSession {
+		return 0
+	}
+	return spread(configurationRetry)
+}
+
 // configurationWait is how long a request waits for the first configuration. A host
 // that has just started gets it within some round trips if there is a leader.
 const configurationWait = 250 * time.Millisecond
