Do not let patches in quick succession wait for each other's hosts

The wait before an acknowledgement was counted anew with each further patch: in a storm of patches the first one's answer would wait for hosts to have the last one, until the call runs out of time.

Each patch waits for its own revision and time. A closed client also tells its caller so, instead of letting it wait.

--- a/internal/control/inforce.go
+++ b/internal/control/inforce.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/table"
@@ -35,8 +37,11 @@
 	until    time.Time
 }
 
-// operatorPromise is the key of the last change of an operator.
-const operatorPromise = "operator"
+// patchPromise is the key of a patch, which is the same when it is sent again. Patches
+// that follow each other quickly do not wait for the later ones.
+func patchPromise(encoded []byte) string {
+	return "patch " + strconv.FormatUint(xxhash.Sum64(encoded), 16)
+}
 
 // leavingPromise is the key of the end of a backend server.
 func leavingPromise(service, backend string) string { return "backend " + service + "/" + backend }
--- a/internal/control/inforce_test.go
+++ b/internal/control/inforce_test.go
@@ -59,6 +59,33 @@
 			}
 		})
 	}
+	// Guards against patches in quick succession that put each other's answers off.
+	t.Run("a later patch is not waited for", func(t *testing.T) {
+		is, r := is.New(t), newReporters(t, 3)
+		r.renew(1)
+		patch := func(version uint64) []byte {
+			c := command.Command{PatchItems: &command.PatchItems{Items: deskItems(version)}}
+			data, err := c.Encode()
+			is.NoErr(err)
+			return data
+		}
+		r.noteFollower("h1", r.state.Table().Revision())
+		first, second := patch(2), patch(3)
+		before := r.state.Table().Revision()
+		done := make(chan bool)
+		go func() { done <- r.Leader.Propose(ctx, wire.Proposal{Command: first}).Status == wire.ProposalApplied }()
+		for r.state.Table().Revision() == before {
+			time.Sleep(time.Millisecond)
+		}
+		reached := r.state.Table().Revision()
+		go r.Leader.Propose(ctx, wire.Proposal{Command: second})
+		for r.state.Table().Revision() == reached {
+			time.Sleep(time.Millisecond)
+		}
+		r.noteFollower("h1", reached)
+		is.True(<-done) // the clock stands: a wait for the later patch would not end
+		r.noteFollower("h1", r.state.Table().Revision())
+	})
 	t.Run("the host is lost", func(t *testing.T) {
 		is, r := is.New(t), newReporters(t, 3)
 		r.renew(1)
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -42,7 +42,7 @@
 		l.noteOrderly()
 	}
 	if reply, done := l.heldAlready(c); done {
-		l.awaitHosts(ctx, operatorPromise)
+		l.awaitHosts(ctx, patchPromise(req.Command))
 		return reply
 	}
 	encoded, err := l.proposeOnce(ctx, req.Command)
@@ -55,8 +55,8 @@
 	}
 	reply := wire.ProposalReply{Status: wire.ProposalApplied, Leader: l.cfg.Proposer.Status().LeaderHost, Result: res}
 	if c.PatchItems != nil && res.Code == command.ResultOK {
-		l.promised(operatorPromise, res.Revision)
-		l.awaitHosts(ctx, operatorPromise)
+		l.promised(patchPromise(req.Command), res.Revision)
+		l.awaitHosts(ctx, patchPromise(req.Command))
 	}
 	if req.WaitInForce && res.Code == command.ResultOK {
 		l.awaitInForce(ctx, res.Revision, time.Duration(req.WaitMs)*time.Millisecond, &reply)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -201,7 +201,12 @@
 		failed <- err
 		return
 	}
-	if other, ok := c.conns[address]; c.closed || ok && !disconnected(other) {
+	if c.closed {
+		_ = fresh.Close()
+		failed <- errors.New("the client is closed")
+		return
+	}
+	if other, ok := c.conns[address]; ok && !disconnected(other) {
 		_ = fresh.Close()
 		return
 	}
