Let granted renewals, not late answers, turn the watch of the table

Cause: a watch that was late by one answer went on to replicas that do not lead, which took 0.4 to 1.1 s each on the crowded link, four times in a row. Renewals shared its hint at who leads.

Change: the watch has a hint of its own. The first answer that is late does not move it; a second one does, and so does a replica that cannot be reached or does not lead. A granted renewal proves who leads: it moves the watch there and ends one that waits for another replica.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -58,8 +58,12 @@
 
 // Session is the lease of one entry host. Its readers never block.
 type Session struct {
-	cfg    Config
-	leader *leaderHint
+	cfg Config
+	// leader is where renewals go, and followed where the watch goes. The watch is not
+	// turned from the leader by calls that are late; a granted renewal turns it.
+	leader, followed *leaderHint
+	// turned is closed when the watch is to go elsewhere.
+	turned atomic.Pointer[chan struct{}]
 
 	seeds atomic.Pointer[[]Replica]
 	table atomic.Pointer[table.Table]
@@ -92,11 +96,14 @@
 	if cfg.WatchCaller == nil {
 		cfg.WatchCaller = cfg.Caller
 	}
-	s := &Session{cfg: cfg, patience: cfg.CallTimeout, leader: newLeaderHint(cfg.Replicas), changed: make(chan struct{}, 1)}
+	s := &Session{cfg: cfg, patience: cfg.CallTimeout,
+		leader: newLeaderHint(cfg.Replicas), followed: newLeaderHint(cfg.Replicas), changed: make(chan struct{}, 1)}
 	s.seeds.Store(&cfg.Replicas)
 	s.table.Store(table.Empty())
 	s.lease.Store(&lease{})
 	s.asOf.Store(&time.Time{})
+	turned := make(chan struct{})
+	s.turned.Store(&turned)
 	return s
 }
 
@@ -177,7 +184,8 @@
 		sent := s.cfg.Clock.Now()
 		reply, err := s.call(ctx, address, request)
 		if err == nil && reply.Granted {
-			s.leader.confirm(address, s.cfg.Clock.Now())
+			s.confirm(address)
+			s.follow(address)
 			s.extend(sent, reply)
 			return nil
 		}
@@ -236,6 +244,7 @@
 func (s *Session) SetSeeds(seeds []Replica) {
 	s.seeds.Store(&seeds)
 	s.leader.learn(seeds)
+	s.followed.learn(seeds)
 }
 
 // learn adds the replicas that a leader named to the seeds.
@@ -250,6 +259,22 @@
 		}
 	}
 	s.leader.learn(all)
+	s.followed.learn(all)
+}
+
+// confirm takes note of an answer that only the leader gives.
+func (s *Session) confirm(address string) {
+	now := s.cfg.Clock.Now()
+	s.leader.confirm(address, now)
+	s.followed.confirm(address, now)
+}
+
+// follow turns the watch to the replica that granted a renewal.
+func (s *Session) follow(address string) {
+	if s.followed.set(address) {
+		next := make(chan struct{})
+		close(*s.turned.Swap(&next))
+	}
 }
 
 // Close ends the session in an orderly way: the lease is given up first, so
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -250,3 +250,44 @@
 	is.True(s.Watch(context.Background()) != nil)
 	is.Equal(s.Table().Revision(), uint64(9)) // all or none
 }
+
+// silentReplica answers no watch until its caller gives up.
+type silentReplica struct {
+	*leaders
+	address string
+	asking  chan struct{}
+}
+
+func (c *silentReplica) Call(ctx context.Context, address, method string, params, result any) error {
+	if method == wire.MethodTableWatch && address == c.address {
+		c.asking <- struct{}{}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.leaders.Call(ctx, address, method, params, result)
+}
+
+// Guards against a host that leaves the leader for one late answer, one that stays with a
+// silent replica, and one that waits on for it once another one has granted its session.
+func TestWatchFollowsTheReplicaThatGrants(t *testing.T) {
+	is, s, l := newSession(t)
+	s.cfg.CallTimeout, s.patience = time.Millisecond, time.Millisecond
+	quiet := &silentReplica{leaders: l, address: "a1", asking: make(chan struct{}, 4)}
+	s.cfg.WatchCaller = quiet
+	is.True(s.Watch(context.Background()) != nil)
+	is.Equal(s.followed.get(), "a1") // it may be the link
+	is.True(s.Watch(context.Background()) != nil)
+	is.Equal(s.followed.get(), "a2")
+
+	is, s, l = newSession(t)
+	s.cfg.WatchPoll = time.Hour
+	quiet = &silentReplica{leaders: l, address: "a1", asking: make(chan struct{}, 4)}
+	s.cfg.WatchCaller = quiet
+	ended := make(chan error)
+	go func() { ended <- s.Watch(context.Background()) }()
+	<-quiet.asking
+	l.reply = map[string]wire.SessionReply{"a1": {Leader: "h2"}, "a2": granted(0)}
+	is.NoErr(s.Renew(context.Background()))
+	is.True(<-ended != nil)
+	is.Equal(s.followed.get(), "a2")
+}
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -36,26 +36,37 @@
 
 // Watch asks the leader once for changes after the current revision and applies them.
 func (s *Session) Watch(ctx context.Context) error {
-	address := s.leader.get()
+	turned := *s.turned.Load()
+	address := s.followed.get()
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.patience)
 	defer cancel()
+	go func() {
+		select {
+		case <-turned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision()}
 	sent := s.cfg.Clock.Now()
 	var reply wire.TableReply
 	if err := s.cfg.WatchCaller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
+		firstLate := errors.Is(ctx.Err(), context.DeadlineExceeded) && s.patience == s.cfg.CallTimeout
+		if !firstLate {
+			s.followed.silent(address, sent)
+		}
 		if errors.Is(err, context.DeadlineExceeded) {
 			s.patience = min(2*s.patience, maxPatience)
 		}
-		s.leader.silent(address, sent)
 		return s.watchFailed(address, sent, errors.Trace(err))
 	}
 	s.patience = s.cfg.CallTimeout
 	if reply.Reason != "" {
-		s.leader.advance(address, reply.Leader)
+		s.followed.advance(address, reply.Leader)
 		return s.watchFailed(address, sent, errors.Errorf("%s: %s", address, reply.Reason))
 	}
 	s.failure = ""
-	s.leader.confirm(address, s.cfg.Clock.Now())
+	s.confirm(address)
 	return s.apply(answer{TableReply: reply, from: address, sent: sent})
 }
 
@@ -222,6 +233,18 @@
 	}
 }
 
+// set moves to a replica and reports whether it was another one.
+func (h *leaderHint) set(address string) (moved bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := slices.IndexFunc(h.replicas, func(r Replica) bool { return r.Address == address })
+	if at < 0 || at == h.current {
+		return false
+	}
+	h.current, h.answered = at, time.Time{}
+	return true
+}
+
 // silent moves on from a replica that did not answer a call sent at a time, unless it
 // has answered another one as the leader since: on a crowded link one call may be late
 // while others come through, and every other replica would only name it again.
