Count the use of a leaving server from when it may have left

Cause: an entry host uses the owner of a key for 0.6 s after it hears that the owner leaves.

Change: answers to watches say how long the leader had no change. With it a host knows until when its last table was the newest, and counts from there. A host that is 0.6 s late or more does not use the leaving server at all; a host that starts does not use servers that left before.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -209,7 +209,7 @@
 // a change for at most the poll time when there is none.
 func (l *Leader) Watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
 	received := l.cfg.Clock.Now()
-	reply := l.watch(ctx, req)
+	reply := l.watch(ctx, req, received)
 	reply.HeldMs = l.cfg.Clock.Now().Sub(received).Milliseconds()
 	return reply
 }
@@ -233,7 +233,8 @@
 	}
 }
 
-func (l *Leader) watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
+func (l *Leader) watch(ctx context.Context, req wire.TableWatch, received time.Time) wire.TableReply {
+	idle := time.Duration(0)
 	timeout := time.NewTimer(l.cfg.Poll)
 	defer timeout.Stop()
 	l.awaitLeader(ctx)
@@ -249,13 +250,16 @@
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
 		if delta != nil || snapshot != nil {
-			reply := wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost}
+			reply := wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost, IdleMs: idle.Milliseconds()}
 			l.addDeltas(&reply)
 			reply.Current = l.cfg.State.Table().Revision()
 			return reply
 		}
 		select {
 		case <-changed:
+			if idle == 0 {
+				idle = l.cfg.Clock.Now().Sub(received)
+			}
 			if err := l.gather(ctx); err != nil {
 				return wire.TableReply{Revision: revision, Leader: st.LeaderHost, Reason: err.Error()}
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"time"
 
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/control"
@@ -105,7 +106,7 @@
 	}
 }
 
-func (d *Daemon) tableChanged(t *routingTable) {
+func (d *Daemon) tableChanged(t *routingTable, _ time.Time) {
 	d.dispatcher.TableChanged(t)
 	counters.revision.Set(int64(t.Revision()))
 }
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -98,8 +98,8 @@
 	return out
 }
 
-func (h *EntryHost) tableChanged(t *table.Table) {
-	h.gateway.TableChanged(t)
+func (h *EntryHost) tableChanged(t *table.Table, since time.Time) {
+	h.gateway.TableChanged(t, since)
 	counters.revision.Set(int64(t.Revision()))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,9 +160,10 @@
 	g.counters.Reused.Set(g.client.Reused.Load())
 }
 
-// TableChanged takes note of a new table.
-func (g *Gateway) TableChanged(t *table.Table) {
-	now := g.cfg.Clock.Now()
+// TableChanged takes note of a new table. The one before is known to have been the
+// newest until since, so that what is new in this one happened later. The time for which
+// a leaving server is used counts from there, not from when a late host hears of it.
+func (g *Gateway) TableChanged(t *table.Table, since time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if n := len(t.Hosts()); n > g.hosts {
@@ -176,7 +177,7 @@
 		for _, b := range t.Backends(s.File.Service) {
 			if !b.Lost {
 				present[keyOf(b)] = true
-				g.note(b, now)
+				g.note(b, since)
 			}
 		}
 	}
@@ -194,15 +195,18 @@
 	g.changed = make(chan struct{})
 }
 
-func (g *Gateway) note(b *table.Backend, now time.Time) {
+func (g *Gateway) note(b *table.Backend, since time.Time) {
+	if since.IsZero() {
+		since = time.Unix(0, 0) // the first table: long ago, for all that is known
+	}
 	key := keyOf(b)
 	m := g.marks[key]
 	if b.Leaving && m.leaving.IsZero() {
-		m.leaving = now
+		m.leaving = since
 	}
 	switch {
 	case b.Draining && m.draining.IsZero():
-		m.draining = now
+		m.draining = since
 	case !b.Draining:
 		m.draining = time.Time{}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,8 +30,9 @@
 	gateway *Gateway
 	server  *httptest.Server
 	permit  wire.PermitReply
-	lost    bool   // no dispatcher answers
-	asked   func() // called by each ask, if set
+	lost    bool          // no dispatcher answers
+	asked   func()        // called by each ask, if set
+	late    time.Duration // how late tables come
 	ends    []wire.PermitDone
 	asks    int
 
@@ -71,6 +72,9 @@
 	w.ends = append(w.ends, r)
 }
 
+// since is until when the table before was the newest.
+func (w *world) since() time.Time { return time.Now().Add(-w.late) }
+
 func (w *world) tables() *table.Table {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -87,7 +91,7 @@
 	w.mu.Lock()
 	w.table = next
 	w.mu.Unlock()
-	w.gateway.TableChanged(next)
+	w.gateway.TableChanged(next, w.since())
 }
 
 func (w *world) configure() {
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -63,3 +64,27 @@
 		})
 	}
 }
+
+// A host on a crowded link hears late that a server leaves. Guards against one that goes
+// on using the server for as long as a host that heard of it at once.
+func TestLateNewsShortensTheUseOfALeavingServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		late   time.Duration
+		status int
+	}{
+		"at once": {0, http.StatusOK},
+		"late":    {time.Minute, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, w := is.New(t), newWorld(t)
+			w.gateway.cfg.Limits.LeaveFor = 30 * time.Second
+			w.configure()
+			server := w.backend("desk", "b1", hello)
+			w.own("b1", 9)
+			w.late = c.late
+			w.put("desk", "b1", server.Listener.Addr().String(), func(b *table.Backend) { b.Leaving = true })
+			status, _, _ := w.ask("POST", "/book/x", strings.NewReader("order"))
+			is.Equal(status, c.status)
+		})
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -48,8 +48,9 @@
 	// AckChanges renews the session as soon as a new revision was applied, so that
 	// operators who wait for it to be in force learn at once.
 	AckChanges bool
-	// OnTable is called after each change of the routing table; it may be nil.
-	OnTable func(*table.Table)
+	// OnTable is called after each change of the routing table, with the time until
+	// which the table before is known to have been the newest; it may be nil.
+	OnTable func(t *table.Table, since time.Time)
 	// OnAnswer is called after each answer to a watch with the time that watch and
 	// answer were on their way; it may be nil.
 	OnAnswer func(way time.Duration)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -291,3 +291,29 @@
 	is.True(<-ended != nil)
 	is.Equal(s.followed.get(), "a2")
 }
+
+// Guards against a change that is taken for newer than it is: it may have happened at any
+// time since the table before was known to be the newest.
+func TestChangesCountFromTheLastNewestTable(t *testing.T) {
+	is, s, l := newSession(t)
+	var since time.Time
+	s.cfg.OnTable = func(_ *table.Table, at time.Time) { since = at }
+	take := func(base, revision uint64, idle, held time.Duration) {
+		encoded, err := table.NewBuilder(base).Delta(revision).Encode()
+		is.NoErr(err)
+		encoded, err = pack.Pack(encoded)
+		is.NoErr(err)
+		l.table = wire.TableReply{Delta: encoded, Current: revision, IdleMs: idle.Milliseconds(), HeldMs: held.Milliseconds()}
+		is.NoErr(s.Watch(context.Background()))
+	}
+	began := l.clock.Now()
+	take(0, 1, 0, 0)
+	is.True(since.IsZero()) // nothing is known of the time before
+	l.clock.Advance(5 * time.Second)
+	take(1, 2, 0, 0) // the change waited for this late watch
+	is.Equal(since, began)
+	sent := l.clock.Now()
+	take(2, 3, 300*time.Millisecond, 400*time.Millisecond)
+	is.Equal(since, sent.Add(300*time.Millisecond)) // the leader had none until then
+	is.Equal(s.AsOf(), sent.Add(400*time.Millisecond))
+}
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -111,6 +111,10 @@
 	if s.cfg.OnAnswer != nil {
 		s.cfg.OnAnswer(way)
 	}
+	since := s.AsOf()
+	if idle := reply.sent.Add(time.Duration(reply.IdleMs) * time.Millisecond); reply.IdleMs > 0 && idle.After(since) {
+		since = idle
+	}
 	if next.Revision() >= reply.Current {
 		asOf := reply.sent.Add(reply.held())
 		s.asOf.Store(&asOf)
@@ -124,7 +128,7 @@
 	s.table.Store(next)
 	s.noteComplete(next.Revision(), reply.Current)
 	if s.cfg.OnTable != nil {
-		s.cfg.OnTable(next)
+		s.cfg.OnTable(next, since)
 	}
 	if s.cfg.AckChanges {
 		select {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -110,6 +110,8 @@
 	More   [][]byte `json:"more,omitempty"`
 	Leader string   `json:"leader,omitempty"`
 	Reason string   `json:"reason,omitempty"`
+	// IdleMs is how long the replica had no change for the host.
+	IdleMs int64 `json:"idle_ms,omitempty"`
 	// HeldMs is how long the replica held the watch before it answered.
 	HeldMs int64 `json:"held_ms,omitempty"`
 }
