Turn the watch to a leader that refuses a session for an old table

A new leader grants no session for a table older than the configuration; only a granted renewal turned the watch, so it waited for the frozen leader for two answers, 1.5 and 2.5 s.

Change: a replica that refuses a renewal and names itself leads as well.

Before: TestWatchFollowsALeaderThatRefusesTheOldTable fails. After: passes.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -197,6 +197,9 @@
 		}
 		last = errors.Errorf("%s: %s", address, reply.Reason)
 		s.leader.advance(address, reply.Leader)
+		if s.leader.get() == address {
+			s.follow(address) // it leads, and may refuse because the table is old
+		}
 	}
 	return errors.Annotate(last, "no control replica renewed the session")
 }
@@ -270,7 +273,7 @@
 	s.followed.confirm(address, now)
 }
 
-// follow turns the watch to the replica that granted a renewal.
+// follow turns the watch to the replica that answered a renewal as the leader.
 func (s *Session) follow(address string) {
 	if s.followed.set(address) {
 		next := make(chan struct{})
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -292,6 +292,15 @@
 	is.Equal(s.followed.get(), "a2")
 }
 
+// A new leader grants no session for a table older than the configuration. Guards against
+// a host that asks the leader before it for the table, and so never gets a session.
+func TestWatchFollowsALeaderThatRefusesTheOldTable(t *testing.T) {
+	is, s, l := newSession(t)
+	l.reply = map[string]wire.SessionReply{"a1": {Leader: "h3"}, "a3": {Leader: "h3", Reason: "watch the table first"}}
+	is.True(s.Renew(context.Background()) != nil)
+	is.Equal(s.followed.get(), "a3")
+}
+
 // Guards against a change that is taken for newer than it is: it may have happened at any
 // time since the table before was known to be the newest.
 func TestChangesCountFromTheLastNewestTable(t *testing.T) {
