Do not take the founding of the group for a failure of the replica

Cause: awaitEnd looked at the replica between the stop of its passive node and the start of the founding one.

Change: replica.failure looks under the lock that bootstrap holds.

--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -99,7 +99,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			if err := h.replica.node.Load().Status().Err; err != nil {
+			if err := h.replica.failure(); err != nil {
 				return errors.Annotate(err, "the control replica stopped")
 			}
 		}
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -56,6 +56,14 @@
 	return nil
 }
 
+// failure returns why the replica cannot go on, or nil. It waits for a bootstrap, which
+// replaces the passive node.
+func (r *replica) failure() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node.Load().Status().Err
+}
+
 func (r *replica) stop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/daemon/replica_test.go
+++ b/internal/daemon/replica_test.go
@@ -67,3 +67,28 @@
 		err = g.all[i%4].replace(ctx, replace)
 	}
 }
+
+// Guards against a control host that ends itself while it forms the group, because it
+// looks at its replica between the passive node and the founding one.
+func TestFormingTheGroupIsNoFailure(t *testing.T) {
+	for range 20 {
+		is := is.New(t)
+		r, err := openReplica(t.TempDir(), "g", "h0",
+			replication.Config{Tick: 20 * time.Millisecond, Transport: &replicas{}}, control.NewState(control.Checker{}))
+		is.NoErr(err)
+		formed := make(chan error, 1)
+		go func() {
+			formed <- r.bootstrap(admin.BootstrapRequest{Group: "g", Members: []admin.ReplicaIdentity{r.identity()}})
+		}()
+		for done := false; !done; {
+			select {
+			case err := <-formed:
+				is.NoErr(err)
+				done = true
+			default:
+				is.NoErr(r.failure())
+			}
+		}
+		r.stop()
+	}
+}
