Promise nothing for the end of a server that is not known

What could be seen: a server deregisters while its first heartbeat is delayed; the leader acknowledges and records nothing; the heartbeat then makes the server known, and requests reach it after the promised time (rule DRAIN).

Cause: Deregister acknowledged whatever the table did not have. Ruled out: a record of names that left; an id may come back with a new process, and the call carries no birth.

Change: the call is not acknowledged.

Test: TestEndOfAnUnknownServerIsNotAcknowledged fails on the code before.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -175,16 +175,24 @@
 		return wire.HeartbeatReply{Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
 	}
 	t := l.cfg.State.Table()
+	known := false
 	for _, s := range t.Services() {
 		b := t.Backend(s.File.Service, d.Backend)
 		if b == nil || !b.ByHeartbeat {
 			continue
 		}
+		known = true
 		if err := l.recordLeaving(ctx, b); err != nil {
 			return wire.HeartbeatReply{Reason: err.Error()}
 		}
 		l.awaitHosts(ctx, leavingPromise(b.Service, b.Name))
 	}
+	if !known {
+		// Its first heartbeat may still be on its way. Nothing can be recorded, so
+		// nothing is promised: the server says it again or ends without an answer.
+		l.cfg.Logger.Info("unknown backend server deregisters", zap.String("backend", d.Backend))
+		return wire.HeartbeatReply{Leader: l.cfg.Proposer.Status().LeaderHost, Reason: "the backend server is not known"}
+	}
 	return wire.HeartbeatReply{Acked: true}
 }
 
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -261,3 +261,15 @@
 			DataCentre: fmt.Sprint("dc", i%396%3), Address: fmt.Sprintf("10.0.%d.%d:80", i%396/250, i%396%250), Slots: 2, Cold: i/396%2 == 0}})
 	}
 }
+
+// A server deregisters before its delayed first heartbeat arrives. Guards against an
+// acknowledged end that nothing records, after which the heartbeat makes the server known.
+func TestEndOfAnUnknownServerIsNotAcknowledged(t *testing.T) {
+	is, r := is.New(t), newReporters(t, 3)
+	end := wire.Deregister{Backend: "late"}
+	is.True(!r.Deregister(ctx, end).Acked)
+	r.beats["late"] = &wire.Heartbeat{Service: "desk", Backend: "late", Born: 5, DataCentre: "dc0", Address: "10.0.9.9:80", Slots: 2}
+	is.True(r.report("late").Acked)
+	is.True(r.Deregister(ctx, end).Acked)
+	is.True(r.state.Table().Backend("desk", "late").Leaving)
+}
