--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -81,7 +81,7 @@
 	h.gateway = gateway.New(gateway.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Complete: h.session.Complete, TableAsOf: h.session.AsOf, Permits: h,
 		Dialect: adapter, Clock: h.clock, Logger: logger,
-		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * float64(d.RetrySlack),
+		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * d.RetrySlack,
 			LeaveFor:           time.Duration(drainTimeUsed * float64(d.DrainTime)),
 			EvacuateFor:        time.Duration(evacuateTimeUsed * float64(d.EvacuateTime)),
 			BodyBytesPerSecond: bodyShare * bytesPerMbit * cfg.Limits.LinkMbps},
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -45,13 +45,13 @@
 	// hosts together send to a service once more: the ratio of the requests plus
 	// the slack, within each window. Defaults 0.2, 50 and 10s.
 	RetryRatio  float64       `yaml:"retry_ratio"`
-	RetrySlack  int           `yaml:"retry_slack"`
+	RetrySlack  float64       `yaml:"retry_slack"`
 	RetryWindow time.Duration `yaml:"retry_window"`
 	// ColdOvershoot and ColdSlack bound the requests that all entry hosts together
 	// send to a cold backend server within a second: the overshoot times the rate
 	// of its service plus the slack. Defaults 1.5 and 5.
 	ColdOvershoot float64 `yaml:"cold_overshoot"`
-	ColdSlack     int     `yaml:"cold_slack"`
+	ColdSlack     float64 `yaml:"cold_slack"`
 	// DrainTime is how long after the acknowledgement of its end a backend server
 	// may get new requests, EvacuateTime the same for a data centre that is taken
 	// out. Defaults 2s and 5s.
@@ -115,10 +115,10 @@
 	d.Require(v.Hold >= heartbeatsPerHold*v.Heartbeat && v.Hold <= v.MaxHold, "deployment.hold",
 		"is %v; must be at least %d heartbeats of %v and at most deployment.max_hold, %v", v.Hold, heartbeatsPerHold, v.Heartbeat, v.MaxHold)
 	d.Require(v.RetryRatio >= 0 && v.RetryRatio <= 1, "deployment.retry_ratio", "is %v; must be between 0 and 1", v.RetryRatio)
-	d.Require(v.RetrySlack >= 0, "deployment.retry_slack", "is %d; must not be negative", v.RetrySlack)
+	d.Require(v.RetrySlack >= 0, "deployment.retry_slack", "is %g; must not be negative", v.RetrySlack)
 	d.Require(v.RetryWindow > 0, "deployment.retry_window", "is %v; must be above 0", v.RetryWindow)
 	d.Require(v.ColdOvershoot >= 1, "deployment.cold_overshoot", "is %v; must be at least 1", v.ColdOvershoot)
-	d.Require(v.ColdSlack >= 0, "deployment.cold_slack", "is %d; must not be negative", v.ColdSlack)
+	d.Require(v.ColdSlack >= 0, "deployment.cold_slack", "is %g; must not be negative", v.ColdSlack)
 	yamldoc.RequireRange(d, "deployment.drain_time", v.DrainTime, 0, time.Hour)
 	yamldoc.RequireRange(d, "deployment.evacuate_time", v.EvacuateTime, 0, time.Hour)
 	yamldoc.RequireRange(d, "deployment.stop_time", v.StopTime, time.Second, time.Hour)
