Let waits for connections follow the host's own link, and open them ahead

Cause: a fixed bound. Ruled out: servers out of reach (all hosts, all servers, and they answered); processor time (0.018 of 0.16 cores).

Change: the bound follows the opening times of all connections of the host, mean and four deviations as TCP's own timer does, up to a maximum; the time for which data may stay unacknowledged follows in the same way. A connection can be prepared while its request waits for a permit; one that is not used is kept.

Tests: TestWaitsFollowTheLink, TestPreparedConnections (new mechanisms). Nothing uses them yet.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -23,10 +23,12 @@
 	// IDHeader is the header in which a backend server repeats the request's id.
 	IDHeader string
 	// DialTimeout bounds the wait for a connection that is being opened. One that comes
-	// later serves another request.
-	DialTimeout time.Duration
-	// UserTimeout is how long sent data may stay unacknowledged.
-	UserTimeout time.Duration
+	// later serves another request. While the connections of this host open slowly, the
+	// bound rises up to MaxDialTimeout.
+	DialTimeout, MaxDialTimeout time.Duration
+	// UserTimeout is how long sent data may stay unacknowledged, up to MaxUserTimeout
+	// while the connections of this host open slowly.
+	UserTimeout, MaxUserTimeout time.Duration
 	// ProbeIdle is the idle time after which a connection is probed for silence.
 	ProbeIdle time.Duration
 	// MaxIdle is how long an idle connection is kept.
@@ -49,8 +51,9 @@
 	// dialer is dialTCP except in tests.
 	dialer func(ctx context.Context, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	pools map[string]*pool
+	mu        sync.Mutex
+	pools     map[string]*pool
+	openTimes openTimes
 }
 
 // New returns a client without connections.
@@ -99,6 +102,8 @@
 	Fresh bool
 	// MaxOpen bounds the open connections to the address; zero means no bound.
 	MaxOpen int
+	// Opening is a connection that was prepared for the request; it may be nil.
+	Opening *Opening
 	// Left is called just before the request is written and sets headers that
 	// depend on the time left; it may be nil. An error keeps the request unsent.
 	Left func(http.Header) *verdict.Error
@@ -141,6 +146,7 @@
 			return nil, refusal
 		}
 	}
+	cn.limitSilence(c.userTimeout())
 	x.stop = context.AfterFunc(ctx, cn.reset)
 	started, err := x.write()
 	if err != nil {
@@ -162,17 +168,19 @@
 func (c *Client) obtain(ctx context.Context, p *pool, req *Request) (cn *conn, reused bool, err error) {
 	if !req.Fresh {
 		if cn := p.take(c.cfg.Clock.Now(), c.cfg.MaxIdle); cn != nil {
+			req.Opening.Forsake()
 			c.Reused.Add(1)
 			return cn, true, nil
 		}
 	}
-	if !p.makeRoom(req.MaxOpen) {
-		return nil, false, errConnections
-	}
-	cn, err = c.open(ctx, p)
-	if err == nil {
-		c.Opened.Add(1)
+	opening := req.Opening
+	if opening == nil {
+		if !p.makeRoom(req.MaxOpen) {
+			return nil, false, errConnections
+		}
+		opening = c.begin(p)
 	}
+	cn, err = opening.await(ctx)
 	return cn, false, err
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,8 @@
 	// until is when the backend server may close the connection while it is idle.
 	until time.Time
 	idle  time.Time // since when it is idle
+	// silence is how long sent data may stay unacknowledged.
+	silence time.Duration
 }
 
 // unbounded lets a boundedReader read on.
@@ -90,6 +92,12 @@
 	}
 }
 
+func (p *pool) hasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // makeRoom closes the oldest idle connection if there are most open ones, and
 // reports whether another one may be opened.
 func (p *pool) makeRoom(most int) bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -385,3 +385,65 @@
 	is.Equal(got, "hello")
 	is.Equal(client.Reused.Load(), int64(1))
 }
+
+// A host whose own link is crowded. Guards against waits that stay as short as on a free
+// link, which take the own link for the loss of sound servers, and against waits that
+// stay long once the link is free.
+func TestWaitsFollowTheLink(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{DialTimeout: 250 * time.Millisecond, MaxDialTimeout: time.Second,
+		UserTimeout: 700 * time.Millisecond, MaxUserTimeout: 1500 * time.Millisecond, Clock: clock.Real{}})
+	is.Equal(c.openingWait(), 250*time.Millisecond)
+	for range 40 {
+		c.opened(3 * time.Millisecond)
+	}
+	is.Equal(c.openingWait(), 250*time.Millisecond)
+	is.Equal(c.userTimeout(), 700*time.Millisecond)
+	for i := range 20 {
+		c.opened(time.Duration(300+20*i) * time.Millisecond)
+	}
+	is.True(c.openingWait() > 680*time.Millisecond && c.openingWait() <= time.Second)
+	is.True(c.userTimeout() > 680*time.Millisecond && c.userTimeout() <= 1500*time.Millisecond)
+	for range 40 {
+		c.opened(3 * time.Millisecond)
+	}
+	is.Equal(c.openingWait(), 250*time.Millisecond)
+}
+
+// A request waits for its permit while its connection opens. Guards against a second
+// connection for it, and against a prepared connection that is lost when the request is
+// refused.
+func TestPreparedConnections(t *testing.T) {
+	is := is.New(t)
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, req.Header.Get("Id"), "hello")
+		}
+	})
+	client := newClient()
+	req := request(address, "a")
+	req.Opening = client.Prepare(address, 1)
+	is.True(req.Opening != nil)
+	is.True(client.Prepare(address, 1) == nil) // the bound counts what is being opened
+	got, failure := get(t, client, req)
+	is.True(failure == nil)
+	is.Equal(got, "hello")
+	is.True(client.Prepare(address, 0) == nil) // the connection is idle now
+	cn := client.pool(address).take(time.Now(), time.Minute)
+	is.True(cn != nil)
+	cn.discard()
+
+	refused := client.Prepare(address, 1)
+	refused.Forsake()
+	for !client.pool(address).hasIdle() {
+		time.Sleep(time.Millisecond)
+	}
+	_, failure = get(t, client, request(address, "b"))
+	is.True(failure == nil)
+	is.Equal(client.Opened.Load(), int64(2))
+	is.Equal(client.Reused.Load(), int64(1))
+}
