Keep the queues of backend servers on the control hosts

Cause: an ask crossed four links of 2.3 Mbit/s (own out, dispatcher in and out, own in), each behind uploads, and the connection to the server began to open after it. A host that got no answer marked the dispatcher, or the server, and refused or sent unasked; asks at the dispatcher of a busy server grow with the number of hosts. Ruled out: processor time (0.018 of 0.16 cores on entry hosts, 0.15 of 0.96 on control hosts).

Change: the control hosts, whose links are wide, keep the queues of warm servers. All entry hosts order them by rendezvous hashing for each server, so nothing is stored and a lost host's queues spread over the others. A queue is soft state: lost or held twice, it costs a longer queue at the server. Cold servers keep their dispatcher with its session, because their rate is a limit. The connection opens while the ask is on its way, waits follow the host's own link, and one connection that opens late does not mark a server down.

--- a/internal/daemon/connect.go
+++ b/internal/daemon/connect.go
@@ -20,7 +20,7 @@
 	maxKeptPeers = 128
 )
 
-// connectLoop keeps connections to the dispatchers of keyed servers open: the first
+// connectLoop keeps connections open to the hosts that are asked for permits: the first
 // ask of a request would wait for three ways instead of one.
 func (h *EntryHost) connectLoop(ctx context.Context) {
 	ticker := time.NewTicker(connectInterval)
@@ -31,32 +31,35 @@
 			return
 		case <-ticker.C:
 		}
-		due := dispatchersToConnect(h.session.Table(), h.settings.Host, h.client.Connected)
+		due := desksToConnect(h.session.ControlHosts(), h.session.Table(), h.settings.Host, h.client.Connected)
 		for _, address := range due {
 			if err := h.client.Connect(ctx, address); err != nil {
-				h.logger.Debug("dispatcher not connected; an ask tries again", zap.String("address", address), logging.Error(err))
+				h.logger.Debug("giver of permits not connected; an ask tries again", zap.String("address", address), logging.Error(err))
 			}
 		}
 	}
 }
 
-// dispatchersToConnect returns the peer addresses of dispatchers without a
-// connection, at most connectsPerRound of them.
-func dispatchersToConnect(t *table.Table, own string, connected func(address string) bool) []string {
-	seen := map[string]bool{own: true}
+// desksToConnect returns the peer addresses without a connection of the control hosts and
+// of the dispatchers of cold servers, at most connectsPerRound of them.
+func desksToConnect(control []string, t *table.Table, own string, connected func(address string) bool) []string {
 	var due []string
-	for _, s := range t.Services() {
-		if !s.File.Keyed() {
-			continue
+	seen := map[string]bool{}
+	add := func(address string) {
+		if !seen[address] && len(seen) < maxKeptPeers {
+			seen[address] = true
+			if len(due) < connectsPerRound && !connected(address) {
+				due = append(due, address)
+			}
 		}
+	}
+	for _, address := range control {
+		add(address)
+	}
+	for _, s := range t.Services() {
 		for _, b := range t.Backends(s.File.Service) {
-			host := t.Host(b.Dispatcher)
-			if b.Lost || host == nil || seen[host.Name] || len(seen) > maxKeptPeers {
-				continue
-			}
-			seen[host.Name] = true
-			if len(due) < connectsPerRound && !connected(host.PeerAddress) {
-				due = append(due, host.PeerAddress)
+			if host := t.Host(b.Dispatcher); b.Cold && !b.Lost && host != nil && host.Name != own {
+				add(host.PeerAddress)
 			}
 		}
 	}
--- a/internal/daemon/connect_test.go
+++ b/internal/daemon/connect_test.go
@@ -10,9 +10,10 @@
 	"github.com/agatestep/agatestep/internal/table"
 )
 
-// Guards against hosts that open connections to all dispatchers at once after a
-// start, to themselves, or to more hosts than they can keep connections to.
-func TestDispatchersToConnect(t *testing.T) {
+// Guards against hosts that open connections to all givers of permits at once after a
+// start, to themselves, or to more hosts than they can keep connections to, and against
+// connections to dispatchers of warm servers, which nobody asks.
+func TestDesksToConnect(t *testing.T) {
 	is := is.New(t)
 	const hosts = maxKeptPeers + 20
 	b := table.NewBuilder(0)
@@ -20,23 +21,29 @@
 	for i := range hosts {
 		name := fmt.Sprintf("h%03d", i)
 		b.PutHost(table.Host{Name: name, PeerAddress: name + ":1"})
-		b.PutBackend(table.Backend{Service: "desk", Name: "b" + name, Dispatcher: name})
+		b.PutBackend(table.Backend{Service: "desk", Name: "b" + name, Dispatcher: name, Cold: true})
 	}
+	b.PutHost(table.Host{Name: "warm", PeerAddress: "warm:1"})
+	b.PutBackend(table.Backend{Service: "desk", Name: "awarm", Dispatcher: "warm"})
+	control := []string{"c1:1", "c2:1"}
 	tab, err := table.Empty().Apply(b.Delta(1))
 	is.NoErr(err)
 	open := map[string]bool{}
 	for round := 0; ; round++ {
-		due := dispatchersToConnect(tab, "h000", func(address string) bool { return open[address] })
+		due := desksToConnect(control, tab, "h000", func(address string) bool { return open[address] })
+		if round == 0 {
+			is.Equal(due[:2], control)
+		}
 		if len(due) == 0 {
 			break
 		}
 		is.True(len(due) <= connectsPerRound)
 		for _, address := range due {
-			is.True(!open[address] && address != "h000:1")
+			is.True(!open[address] && address != "h000:1" && address != "warm:1")
 			open[address] = true
 		}
 	}
 	is.Equal(len(open), maxKeptPeers)
 	delete(open, "h001:1")
-	is.Equal(dispatchersToConnect(tab, "h000", func(address string) bool { return open[address] }), []string{"h001:1"})
+	is.Equal(desksToConnect(control, tab, "h000", func(address string) bool { return open[address] }), []string{"h001:1"})
 }
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -31,6 +31,7 @@
 	replica *replica
 	state   *control.State
 	leader  *control.Leader
+	permits *permitDesk
 
 	seeds atomic.Pointer[[]string] // peer addresses
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	h := &ControlHost{process: p, adapter: adapter, candidates: map[replication.ReplicaID]time.Time{}}
+	h := &ControlHost{process: p, adapter: adapter, permits: newPermitDesk(p.clock), candidates: map[replication.ReplicaID]time.Time{}}
 	seeds := seedAddresses(cfg)
 	h.seeds.Store(&seeds)
 	l := cfg.Listen
@@ -80,6 +81,7 @@
 	h.background.Go(func() { h.leader.Run(loops) })
 	h.background.Go(func() { h.joinLoop(loops) })
 	h.background.Go(func() { h.memberLoop(loops) })
+	h.background.Go(func() { h.permits.cleanLoop(loops) })
 	h.logger.Info("started", zap.String("host", h.settings.Host), zap.String("data_centre", h.settings.DataCentre),
 		zap.String("role", settings.RoleControl), zap.String("replica", string(h.replica.store.Identity().ID())))
 	h.record("started", h.settings.Host, "")
@@ -192,6 +194,8 @@
 	h.peers.Register(wire.MethodHeartbeat, peer.Handle(h.handleHeartbeat))
 	h.peers.Register(wire.MethodDeregister, peer.Handle(h.handleDeregister))
 	h.peers.Register(wire.MethodReadItems, peer.Handle(h.handleReadItems))
+	h.peers.Register(wire.MethodPermitAsk, peer.Handle(h.handlePermitAsk))
+	h.peers.Register(wire.MethodPermitDone, peer.Handle(h.handlePermitDone))
 	h.peers.Register(wire.MethodReplicaHello, peer.Handle(h.handleHello))
 }
 
--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// cleanLoop drops unused queues once a second.
+func (d *permitDesk) cleanLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Second)
+		d.clean()
+	}
+}
+
 func (d *permitDesk) clean() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -145,39 +153,57 @@
 	q.notify(q.Next(d.clock.Now()))
 }
 
+// permitKey names the queue that a request about a permit belongs to.
+func permitKey(service, backend string, born int64) coldgate.Key {
+	return coldgate.Key{Service: service, Backend: backend, Born: born}
+}
+
 var _ gateway.Permits = (*EntryHost)(nil)
 
+// Desks implements gateway.Permits. The control hosts keep the queues: their links are
+// wide and their number does not grow with that of the entry hosts. A cold server gets
+// permits from its dispatcher only, whose session proves that no other host gives any.
+func (h *EntryHost) Desks(b *table.Backend) []gateway.Desk {
+	control := h.session.ControlHosts()
+	if b.Cold || len(control) == 0 {
+		host := h.session.Table().Host(b.Dispatcher)
+		if host == nil {
+			return nil
+		}
+		return []gateway.Desk{{Host: host.Name, Address: host.PeerAddress}}
+	}
+	var out []gateway.Desk
+	for _, address := range permit.Order(control, b.Service+"/"+b.Name) {
+		out = append(out, gateway.Desk{Host: address, Address: address})
+	}
+	return out
+}
+
 // Ask implements gateway.Permits.
-func (h *EntryHost) Ask(ctx context.Context, b *table.Backend, r wire.PermitAsk) (wire.PermitReply, error) {
-	if b.Dispatcher == h.settings.Host {
+func (h *EntryHost) Ask(ctx context.Context, d gateway.Desk, r wire.PermitAsk) (wire.PermitReply, error) {
+	if d.Host == h.settings.Host {
 		return h.handlePermitAsk(ctx, r)
 	}
-	host := h.session.Table().Host(b.Dispatcher)
-	if host == nil {
-		return wire.PermitReply{}, errors.Errorf("backend server %s has no dispatcher", b.Name)
-	}
 	var reply wire.PermitReply
-	err := h.client.Call(ctx, host.PeerAddress, wire.MethodPermitAsk, r, &reply)
+	err := h.client.Call(ctx, d.Address, wire.MethodPermitAsk, r, &reply)
 	return reply, errors.Trace(err)
 }
 
 // Done implements gateway.Permits. A report that is lost is made up for by the end
 // of the permit's time.
-func (h *EntryHost) Done(b *table.Backend, r wire.PermitDone) {
-	if b.Dispatcher == h.settings.Host {
-		h.permits.done(coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, r)
+func (h *EntryHost) Done(d gateway.Desk, r wire.PermitDone) {
+	if d.Host == h.settings.Host {
+		h.permits.done(permitKey(r.Service, r.Backend, r.Born), r)
 		return
 	}
-	if host := h.session.Table().Host(b.Dispatcher); host != nil {
-		go h.reportDone(host, r) // the answer does not wait for it
-	}
+	go h.reportDone(d, r) // the answer does not wait for it
 }
 
-func (h *EntryHost) reportDone(host *table.Host, r wire.PermitDone) {
+func (h *EntryHost) reportDone(d gateway.Desk, r wire.PermitDone) {
 	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 	defer cancel()
-	if err := h.client.Notify(ctx, host.PeerAddress, wire.MethodPermitDone, r); err != nil {
-		h.logger.Debug("end of a request not reported", zap.String("dispatcher", host.Name), logging.Error(err))
+	if err := h.client.Notify(ctx, d.Address, wire.MethodPermitDone, r); err != nil {
+		h.logger.Debug("end of a request not reported", zap.String("to", d.Host), logging.Error(err))
 	}
 }
 
@@ -195,12 +221,30 @@
 	rate := coldgate.Rate{}
 	if s := t.Items().Service(r.Service); s != nil && b.Cold {
 		d := h.settings.Deployment
-		rate = coldgate.Rate{PerSecond: coldRateUsed * d.ColdOvershoot * s.ColdRate, Burst: coldSlackUsed * float64(d.ColdSlack)}
+		rate = coldgate.Rate{PerSecond: coldRateUsed * d.ColdOvershoot * s.ColdRate, Burst: coldSlackUsed * d.ColdSlack}
 	}
-	return h.permits.ask(ctx, coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, b.Slots, rate, r), nil
+	return h.permits.ask(ctx, permitKey(r.Service, r.Backend, r.Born), b.Slots, rate, r), nil
 }
 
 func (h *EntryHost) handlePermitDone(_ context.Context, r wire.PermitDone) (struct{}, error) {
-	h.permits.done(coldgate.Key{Service: r.Service, Backend: r.Backend, Born: r.Born}, r)
+	h.permits.done(permitKey(r.Service, r.Backend, r.Born), r)
+	return struct{}{}, nil
+}
+
+// handlePermitAsk answers for warm backend servers. What is lost with this host, or held
+// twice while some entry hosts ask another one, costs a server a longer queue at most.
+func (h *ControlHost) handlePermitAsk(ctx context.Context, r wire.PermitAsk) (wire.PermitReply, error) {
+	b := h.state.Table().Backend(r.Service, r.Backend)
+	switch {
+	case b == nil || b.Lost || b.Born != r.Born:
+		return wire.PermitReply{State: wire.PermitUnable, Reason: "this replica does not know the process of the backend server"}, nil
+	case b.Cold:
+		return wire.PermitReply{State: wire.PermitElsewhere, Reason: "the backend server is cold, and its dispatcher decides"}, nil
+	}
+	return h.permits.ask(ctx, permitKey(r.Service, r.Backend, r.Born), b.Slots, coldgate.Rate{}, r), nil
+}
+
+func (h *ControlHost) handlePermitDone(_ context.Context, r wire.PermitDone) (struct{}, error) {
+	h.permits.done(permitKey(r.Service, r.Backend, r.Born), r)
 	return struct{}{}, nil
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -15,9 +16,9 @@
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
-// unableFor is how long a dispatcher that did not answer is not asked. Its session
-// ends within two seconds, and another one takes over.
-const unableFor = time.Second
+// coldRetry is when callers of a cold backend server return whose dispatcher does not
+// answer. Its session ends within two seconds, and another one takes over.
+const coldRetry = time.Second
 
 // An ask takes a part of the request's time at most, so that there is time for the
 // estimate when the dispatcher does not answer. Small links delay answers by some
@@ -35,7 +36,8 @@
 
 // pass is the leave to send one request, or the reason why there is none.
 type pass struct {
-	id      uint64 // zero when no dispatcher was asked
+	id      uint64 // zero when no permit was asked for
+	desk    Desk   // that gave the permit
 	refusal *verdict.Error
 	// delay is when a refused caller should return.
 	delay time.Duration
@@ -45,16 +47,16 @@
 	held  bool
 }
 
-// admit gets the leave to send a call to its target: from the dispatcher of the
-// backend server, or by this host's own estimate while the dispatcher does not
-// answer. A cold backend server gets nothing without its dispatcher.
+// admit gets the leave to send a call to its target: from the host that keeps the queue
+// of the backend server, or by this host's own estimate while none answers. A cold
+// backend server gets nothing without its dispatcher.
 func (g *Gateway) admit(ctx context.Context, c *call, t target) pass {
 	b := t.backend
 	if !c.keyed && !b.Cold {
 		return pass{} // the choice of the server was the admission
 	}
-	if g.mayAsk(b.Dispatcher) {
-		p, answered := g.ask(ctx, c, t)
+	if d, ok := g.desk(b); ok {
+		p, answered := g.ask(ctx, c, t, d)
 		if answered {
 			return p
 		}
@@ -63,50 +65,76 @@
 		}
 	}
 	if b.Cold {
-		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "the backend server is cold and its dispatcher does not answer"), delay: unableFor}
+		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "the backend server is cold and its dispatcher does not answer"), delay: coldRetry}
 	}
 	return g.estimate(c, b)
 }
 
-func (g *Gateway) mayAsk(dispatcher string) bool {
+// desk returns the first host that may keep the queue of a backend server and answers.
+func (g *Gateway) desk(b *table.Backend) (Desk, bool) {
+	now := g.cfg.Clock.Now()
+	desks := g.cfg.Permits.Desks(b)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return dispatcher != "" && !g.cfg.Clock.Now().Before(g.unable[dispatcher])
+	for _, d := range desks {
+		if g.reach.MayAsk(now, d.Host) {
+			return d, true
+		}
+	}
+	return Desk{}, false
 }
 
-func (g *Gateway) markUnable(dispatcher string) {
+// heard notes whether a host answered an ask that was sent at sent.
+func (g *Gateway) heard(d Desk, sent time.Time, err error) {
+	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unable[dispatcher] = g.cfg.Clock.Now().Add(unableFor)
+	switch {
+	case err == nil:
+		g.reach.Answered(now, d.Host)
+	case errors.Is(err, context.DeadlineExceeded):
+		g.reach.Silent(now, sent, d.Host)
+	default:
+		g.reach.Unreachable(now, d.Host)
+	}
 }
 
-// ask asks the dispatcher until it decides. answered is false if it cannot.
-func (g *Gateway) ask(ctx context.Context, c *call, t target) (p pass, answered bool) {
+// ask asks for a permit until there is a decision. answered is false if there is none.
+func (g *Gateway) ask(ctx context.Context, c *call, t target, d Desk) (p pass, answered bool) {
 	b, now := t.backend, g.cfg.Clock.Now()
 	s, a := g.server(b), permit.Ask{Rank: c.match.Priority, Until: c.until}
 	if retry, refused := s.refuses(now, a); refused {
-		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "the dispatcher has just refused a request like this one"), delay: retry}, true
+		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "a request like this one has just been refused"), delay: retry}, true
 	}
+	c.opening = g.client.Prepare(b.Address, g.connections(c.service))
 	request := wire.PermitAsk{Service: b.Service, Backend: b.Name, Born: b.Born, ID: rand.Uint64() | 1, Rank: c.match.Priority,
 		TargetMs: c.arrived.Add(c.match.Target).Sub(now).Milliseconds(), LeftMs: c.left(now).Milliseconds(),
 		ServiceMs: g.times(c.service).mean(c.match.Name).Milliseconds()}
 	timeout := askTime(c.left(now))
 	request.PollMs = int64(askPollPart * float64(timeout.Milliseconds()))
+	takeBack := func() {
+		g.cfg.Permits.Done(d, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
+	}
 	for {
-		reply, err := g.askOnce(ctx, b, request, timeout)
+		sent := g.cfg.Clock.Now()
+		reply, err := g.askOnce(ctx, d, request, timeout)
+		if ctx.Err() == nil {
+			g.heard(d, sent, err)
+		}
 		switch {
 		case ctx.Err() != nil:
-			g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
+			takeBack()
 			return pass{refusal: ended(ctx)}, true
 		case err != nil || reply.State == wire.PermitUnable:
-			// The dispatcher may have let the request in, and the answer is late.
-			g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
-			g.markUnable(b.Dispatcher)
-			g.cfg.Logger.Info("dispatcher does not answer", append(c.fields(), zap.String("backend", b.Name),
-				zap.String("dispatcher", b.Dispatcher), zap.String("reason", reply.Reason), logging.Error(err))...)
+			// The request may have been let in, and the answer is late.
+			takeBack()
+			g.cfg.Logger.Info("no permit decision", append(c.fields(), zap.String("backend", b.Name),
+				zap.String("asked", d.Host), zap.String("reason", reply.Reason), zap.Duration("took", g.cfg.Clock.Now().Sub(sent)), logging.Error(err))...)
 			return pass{}, false
+		case reply.State == wire.PermitElsewhere:
+			return pass{held: true}, true
 		case reply.State == wire.PermitGranted && !g.retargeted(c, t):
-			return pass{id: request.ID}, true
+			return pass{id: request.ID, desk: d}, true
 		case reply.State == wire.PermitRefused:
 			wait := time.Duration(reply.WaitMs) * time.Millisecond
 			s.refused(g.cfg.Clock.Now(), a, wait)
@@ -114,16 +142,16 @@
 		}
 		request.Again = true
 		if g.retargeted(c, t) {
-			g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
+			takeBack()
 			return pass{moved: true}, true
 		}
 	}
 }
 
-func (g *Gateway) askOnce(ctx context.Context, b *table.Backend, r wire.PermitAsk, timeout time.Duration) (wire.PermitReply, error) {
+func (g *Gateway) askOnce(ctx context.Context, d Desk, r wire.PermitAsk, timeout time.Duration) (wire.PermitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return g.cfg.Permits.Ask(ctx, b, r)
+	return g.cfg.Permits.Ask(ctx, d, r)
 }
 
 // retargeted reports whether a call must not go to its target any more: what the table
@@ -180,8 +208,8 @@
 }
 
 // release reports the end of a request that had a permit.
-func (g *Gateway) release(b *table.Backend, id uint64, took time.Duration) {
-	if id != 0 {
-		g.cfg.Permits.Done(b, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: id, TookMs: took.Milliseconds()})
+func (g *Gateway) release(b *table.Backend, p pass, took time.Duration) {
+	if p.id != 0 {
+		g.cfg.Permits.Done(p.desk, wire.PermitDone{Service: b.Service, Backend: b.Name, Born: b.Born, ID: p.id, TookMs: took.Milliseconds()})
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatestep/agatestep/internal/items"
 	"github.com/agatestep/agatestep/internal/table"
+	"github.com/agatestep/agatestep/internal/upstream"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
@@ -30,6 +31,8 @@
 	// attempts took.
 	admitted, served time.Duration
 	tried            map[serverKey]bool
+	// opening is a connection that is opened while the call waits for its permit.
+	opening *upstream.Opening
 }
 
 func (c *call) left(now time.Time) time.Duration { return c.until.Sub(now) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/agatestep/agatestep/internal/balance"
 	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/permit"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -34,12 +35,22 @@
 	Limits    Limits
 }
 
-// Permits reaches the dispatchers of backend servers.
+// Permits reaches the hosts that keep the queues of backend servers.
 type Permits interface {
-	// Ask asks the dispatcher of a backend server for leave to send a request.
-	Ask(ctx context.Context, b *table.Backend, r wire.PermitAsk) (wire.PermitReply, error)
+	// Desks returns the hosts that may keep the queue of a backend server, in the order
+	// in which all entry hosts ask them.
+	Desks(b *table.Backend) []Desk
+	// Ask asks for leave to send a request.
+	Ask(ctx context.Context, d Desk, r wire.PermitAsk) (wire.PermitReply, error)
 	// Done reports the end of a request, or takes an ask back.
-	Done(b *table.Backend, r wire.PermitDone)
+	Done(d Desk, r wire.PermitDone)
+}
+
+// Desk is a host that gives permits.
+type Desk struct {
+	Host string
+	// Address is that of its peer listener.
+	Address string
 }
 
 // Limits bound what one gateway does.
@@ -60,11 +71,15 @@
 
 // Timeouts towards backend servers.
 const (
-	// dialTimeout is several round trips between data centres. A longer wait would
-	// use up the time of the request.
-	dialTimeout = 250 * time.Millisecond
-	// userTimeout ends a connection whose bytes are not acknowledged.
-	userTimeout = 700 * time.Millisecond
+	// dialTimeout is several round trips between data centres, maxDialTimeout the wait
+	// while this host's own link is crowded. A longer one would use up the time of the
+	// request.
+	dialTimeout    = 250 * time.Millisecond
+	maxDialTimeout = time.Second
+	// userTimeout ends a connection whose bytes are not acknowledged, maxUserTimeout
+	// while this host's own link is crowded.
+	userTimeout    = 700 * time.Millisecond
+	maxUserTimeout = 1500 * time.Millisecond
 	// probeIdle is when an idle connection is probed. Probes cost processor time.
 	probeIdle = 3 * time.Second
 	// maxIdle is how long an idle connection is kept; backend servers close theirs
@@ -84,8 +99,8 @@
 	budgets  map[string]*balance.Budget
 	services map[string]*serviceTimes
 	marks    map[serverKey]mark
-	// unable are the dispatchers that did not answer, until when they are not asked.
-	unable  map[string]time.Time
+	// reach tells which hosts answer asks for permits.
+	reach   *permit.Reach
 	changed chan struct{} // closed by the next table
 
 	loads *loads
@@ -117,10 +132,10 @@
 	g := &Gateway{
 		cfg: cfg, split: newSplitter(), counters: counters,
 		servers: map[serverKey]*server{}, budgets: map[string]*balance.Budget{},
-		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{}, unable: map[string]time.Time{},
+		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{}, reach: permit.NewReach(),
 		changed: make(chan struct{}), loads: newLoads(),
 	}
-	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, UserTimeout: userTimeout,
+	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, MaxDialTimeout: maxDialTimeout, UserTimeout: userTimeout, MaxUserTimeout: maxUserTimeout,
 		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
 	return g
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,8 +51,11 @@
 	return w
 }
 
+// Desks implements Permits.
+func (w *world) Desks(b *table.Backend) []Desk { return []Desk{{Host: b.Dispatcher}} }
+
 // Ask implements Permits.
-func (w *world) Ask(context.Context, *table.Backend, wire.PermitAsk) (wire.PermitReply, error) {
+func (w *world) Ask(context.Context, Desk, wire.PermitAsk) (wire.PermitReply, error) {
 	if w.asked != nil {
 		w.asked()
 	}
@@ -66,7 +69,7 @@
 }
 
 // Done implements Permits.
-func (w *world) Done(_ *table.Backend, r wire.PermitDone) {
+func (w *world) Done(_ Desk, r wire.PermitDone) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ends = append(w.ends, r)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -50,6 +51,7 @@
 	budget.OnRequest()
 	var last *verdict.Error
 	var fallback *held // a failure that a backend server answered
+	defer func() { c.opening.Forsake() }()
 	for {
 		changed := g.tableChange()
 		target, refusal, delay := g.target(c)
@@ -69,6 +71,8 @@
 			continue
 		}
 		asked := g.cfg.Clock.Now()
+		c.opening.Forsake() // of an attempt before
+		c.opening = nil
 		p := g.admit(ctx, c, target)
 		c.admitted += g.cfg.Clock.Now().Sub(asked)
 		switch {
@@ -87,7 +91,7 @@
 			continue
 		}
 		if c.sends > 0 && !budget.TrySpend() {
-			g.release(target.backend, p.id, 0)
+			g.release(target.backend, p, 0)
 			if last == nil {
 				last = verdict.Unavailable(verdict.ReasonOverloaded, "the retry budget is used up")
 			}
@@ -223,7 +227,7 @@
 func (g *Gateway) attempt(ctx context.Context, c *call, t target, p pass) (*held, *verdict.Error, next) {
 	s := g.server(t.backend)
 	var took time.Duration
-	defer func() { g.release(t.backend, p.id, took) }()
+	defer func() { g.release(t.backend, p, took) }()
 	s.mu.Lock()
 	s.backlog.Sent()
 	s.mu.Unlock()
@@ -258,7 +262,7 @@
 	header := c.header.Clone()
 	req := &upstream.Request{ID: c.ID, Address: t.backend.Address, Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host,
 		Header: header, Length: c.request.ContentLength, Fresh: c.ran > 0,
-		MaxOpen: g.connections(c.service)}
+		MaxOpen: g.connections(c.service), Opening: c.opening}
 	if c.body != nil {
 		req.Body = c.body.reader()
 	}
@@ -294,7 +298,10 @@
 		return finish
 	}
 	if e.Verdict == verdict.NotRun {
-		if e.Reason == verdict.ReasonConnect {
+		switch {
+		case errors.Is(e.Cause, upstream.ErrOpening):
+			s.late(now)
+		case e.Reason == verdict.ReasonConnect:
 			s.unreachable(now)
 		}
 		return wait
@@ -315,6 +322,7 @@
 	if said.Load != nil {
 		s.backlog.Reported(now, *said.Load)
 	}
+	s.lateOpenings = 0
 	s.backlog.Outcome(now, !said.Misdirected && resp.StatusCode >= http.StatusInternalServerError)
 	s.mu.Unlock()
 	if said.NotRun {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,6 +17,8 @@
 	outlook permit.Outlook
 	// down is until when the server is not tried, after connections failed.
 	down time.Time
+	// lateOpenings counts the connections in a row that took too long to open.
+	lateOpenings int
 }
 
 func (g *Gateway) server(b *table.Backend) *server {
@@ -48,6 +50,22 @@
 	s.down = now.Add(downFor)
 }
 
+// maxLateOpenings is the number of late connections in a row after which a server counts
+// as unreachable. One alone may be late by chance, and all callers of the server's keys
+// are refused while it counts so.
+const maxLateOpenings = 2
+
+// late notes that a connection took too long to open.
+func (s *server) late(now time.Time) {
+	s.mu.Lock()
+	s.lateOpenings++
+	lost := s.lateOpenings >= maxLateOpenings
+	s.mu.Unlock()
+	if lost {
+		s.unreachable(now)
+	}
+}
+
 // isDown returns how long the server is still left alone.
 func (s *server) isDown(now time.Time) (time.Duration, bool) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/permit/desks.go
@@ -0,0 +1,35 @@
+package permit
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Order returns the hosts that may keep a queue in the order in which all entry hosts ask
+// them (rendezvous hashing): they agree without a word, each host keeps its share of the
+// queues, and a lost host's queues spread over the others.
+func Order(hosts []string, queue string) []string {
+	out := slices.Clone(hosts)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(b, queue), weight(a, queue)), cmp.Compare(a, b))
+	})
+	return out
+}
+
+func weight(host, queue string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host))  // a hash does not fail
+	_, _ = h.Write([]byte{0})     // names hold no zero byte
+	_, _ = h.Write([]byte(queue)) // a hash does not fail
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of a hash: those of texts that differ in the last byte are close.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -74,6 +74,8 @@
 	lastLoad time.Time
 	closing  atomic.Bool
 	patience time.Duration // of the watch loop only
+	// control are the control hosts that the leader named last.
+	control atomic.Pointer[[]string]
 	// asOf is when the table was last known to be the leader's newest.
 	asOf    atomic.Pointer[time.Time]
 	failure string // last failed watch, of the watch loop only
@@ -251,11 +253,20 @@
 	s.followed.learn(seeds)
 }
 
+// ControlHosts returns the peer addresses of the control hosts that the leader named last.
+func (s *Session) ControlHosts() []string {
+	if known := s.control.Load(); known != nil {
+		return *known
+	}
+	return nil
+}
+
 // learn adds the replicas that a leader named to the seeds.
 func (s *Session) learn(addresses []string) {
 	if len(addresses) == 0 {
 		return
 	}
+	s.control.Store(&addresses)
 	all := slices.Clone(*s.seeds.Load())
 	for _, a := range addresses {
 		if !slices.ContainsFunc(all, func(r Replica) bool { return r.Address == a }) {
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -55,8 +55,8 @@
 	Backend string `json:"backend"`
 }
 
-// PermitAsk asks the dispatcher of a backend server for leave to send one request
-// to it, or asks again about such an ask. The answer may take a tenth of a second.
+// PermitAsk asks the host that keeps the queue of a backend server for leave to send one
+// request to it, or asks again about such an ask. The answer may take a tenth of a second.
 type PermitAsk struct {
 	Service string `json:"service"`
 	Backend string `json:"backend"`
@@ -87,6 +87,9 @@
 	PermitRefused PermitState = "refused"
 	// PermitUnable means that this host cannot answer for the backend server now.
 	PermitUnable PermitState = "unable"
+	// PermitElsewhere means that another host gives the permits for the backend server
+	// now; a newer table says which.
+	PermitElsewhere PermitState = "elsewhere"
 )
 
 // PermitReply answers PermitAsk.
