Hand answers over before the rest of the body has come

What callers saw: the refusal of an upload, or a server's early answer to it, came only once the whole body had arrived; on a crowded link that is as late as the upload itself.

Cause: net/http reads the rest of a body before it writes the head of an answer, and waits for a reader of the body that an abandoned attempt left behind. The gateway did not ask it not to; the other request path does. Ruled out: the bodies kept to be sent again; they hold no lock that answers need.

Change: full duplex for requests with a body.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -22,6 +22,12 @@
 	defer g.inFlight.Add(-1)
 	g.lastSeen.Store(now.UnixNano())
 	g.counters.Requests.Add(1)
+	if r.ContentLength != 0 {
+		// An answer does not wait for the rest of the body. Every HTTP/1.1 connection of
+		// net/http can do that.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		defer finishBody(w, r)
+	}
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -45,6 +51,20 @@
 	g.answer(w, c, resp)
 }
 
+// bodyRestWait is how long a caller that has its answer may take for the rest of its body,
+// where the configuration does not say how long headers may take.
+const bodyRestWait = 3 * time.Second
+
+// finishBody hands the answer over and reads what is left of the body, so that the
+// connection can serve another request. net/http would do it in the other order.
+func finishBody(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(bodyRestWait)) != nil || r.Body.Close() != nil {
+		panic(http.ErrAbortHandler) // the rest must not be taken for the next request
+	}
+	_ = rc.SetReadDeadline(time.Time{}) // a connection that is closed has none
+}
+
 // configurationRetry is when a caller returns to a host that had no configuration: an
 // election and the way of the table take about as long after a start.
 const configurationRetry = 800 * time.Millisecond
@@ -201,10 +221,12 @@
 		w.Header().Set(g.cfg.Dialect.IDHeader(), id)
 	}
 	g.cfg.Dialect.Refuse(w.Header(), e, retryAfter)
+	text := e.Detail + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", itoa(len(text)))
 	w.WriteHeader(e.Status)
 	// The caller may be gone; there is nobody else to tell.
-	_, _ = io.WriteString(w, e.Detail+"\n")
+	_, _ = io.WriteString(w, text)
 }
 
 // bodyTooLarge reports whether a failure was caused by a body over the limit.
