Do not ask a server again and again for a key that it does not hold

Cause: after each answer the call waited 60 ms and went to the same owner of the same epoch. Ruled out: no second try at all; a server gets a key with the answer to its next heartbeat, a moment after the table has it.

Change: two sends for one epoch; then the call waits for a newer table or is refused.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,6 +31,9 @@
 	// attempts took.
 	admitted, served time.Duration
 	tried            map[serverKey]bool
+	// misdirected counts the answers that the owner does not hold the key, by the epoch
+	// of the slice.
+	misdirected map[uint64]int
 	// opening is a connection that is opened while the call waits for its permit.
 	opening *upstream.Opening
 }
@@ -58,7 +61,7 @@
 	if !ok {
 		return nil, verdict.Refuse(http.StatusNotFound, verdict.ReasonNoRoute, "no route matches this host and path")
 	}
-	c := &call{Call: head, request: r, match: match, arrived: now, tried: map[serverKey]bool{}}
+	c := &call{Call: head, request: r, match: match, arrived: now, tried: map[serverKey]bool{}, misdirected: map[uint64]int{}}
 	c.until = now.Add(match.Timeout)
 	if head.Left > 0 && head.Left < match.Timeout {
 		c.until = now.Add(head.Left)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -469,3 +471,68 @@
 		is.True(err != nil && err.Error() == "caller left")
 	}
 }
+
+// Guards against a request that is sent over and over to a server that says that it does
+// not hold the key, while the table says nothing new.
+func TestServerWithoutTheKeyIsNotAskedAgainAndAgain(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.configure()
+	w.backend("desk", "b1", notRun(http.StatusConflict))
+	w.own("b1", 9)
+	status, _, header := w.ask("GET", "/read/x", nil)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(header.Get(verdict.Header), "not-run")
+	is.Equal(w.arrivals(), maxMisdirected)
+}
+
+// A server sends the copy of an answer late, where the next answer is expected. Guards
+// against a request that is sent again on the same connection: the copy carries its id,
+// says that it did not run, and the request runs all the same.
+func TestCopyOfARefusalIsNotTakenForTheNextAnswer(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.configure()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	var ran atomic.Int64
+	refused := func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 503 x\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.HeaderRequestID, id, verdict.Header, verdict.NotRun)
+	}
+	var first atomic.Bool
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				shed := first.CompareAndSwap(false, true)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					id := req.Header.Get(wire.HeaderRequestID)
+					switch {
+					case shed && n == 0:
+						refused(c, id)
+						continue
+					case shed && n == 1:
+						refused(c, id) // the copy
+					}
+					ran.Add(1)
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nhello", wire.HeaderRequestID, id)
+				}
+			}()
+		}
+	}()
+	w.put("desk", "b1", l.Addr().String())
+	w.own("b1", 9)
+	status, body, _ := w.ask("POST", "/book/x", strings.NewReader("order"))
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "hello")
+	is.Equal(ran.Load(), int64(1))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,6 +27,10 @@
 	// misdirectedPause is the first wait after a backend server did not hold the
 	// key; a newer table ends it earlier.
 	misdirectedPause = 60 * time.Millisecond
+	// maxMisdirected is how often a call is sent to an owner that says that it does not
+	// hold the key. It may get the key with the answer to its next heartbeat; only a newer
+	// table makes a further try worthwhile.
+	maxMisdirected = 2
 	// holdPause is how long a request is held when its server's queue is full.
 	holdPause = 15 * time.Millisecond
 	// minRetryAfter and retrySpread set when refused callers come back, so that
@@ -212,6 +216,9 @@
 	if b == nil || !g.mayServeHeld(b, now) {
 		return target{reason: "the key's owner is leaving or lost"}, nil, misdirectedPause
 	}
+	if c.misdirected[slice.Epoch] >= maxMisdirected {
+		return target{reason: "the key's owner says that it does not hold the key"}, nil, misdirectedPause
+	}
 	s := g.server(b)
 	if left, down := s.isDown(now); down {
 		return target{reason: "the key's owner cannot be reached"}, nil, min(left, misdirectedPause)
@@ -373,6 +380,7 @@
 	e := verdict.Unavailable(verdict.ReasonBackendRefused, "the backend server did not run the request: status "+strconv.Itoa(status))
 	if said.Misdirected {
 		e.Reason, e.Detail = verdict.ReasonMoved, "the backend server does not hold the key"
+		c.misdirected[t.slice.Epoch]++
 	}
 	g.cfg.Logger.Info("attempt not run", append(c.fields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
 		zap.String("slice_owner", t.slice.Owner), zap.Int("status", status), zap.String("reason", string(e.Reason)),
