Take a lost server back only on two heartbeats in their rhythm

Ruled out: the sequence number alone. The last heartbeat before the end may be the one that is held up, and a new leader has not heard the ones before.

Change: the first heartbeat of a lost process is acknowledged and renews nothing; a later one at least half an interval after it brings the process back. Those that a cut held up arrive together. A server that was only out of reach is back one heartbeat later than before.

Test: TestHeldUpHeartbeatDoesNotReviveALostServer fails on the code before for the same and for a new leader.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -85,6 +85,9 @@
 	if _, st, ok := l.lead(); !ok {
 		return false, errors.New(notLeading(st))
 	}
+	if b := t.Backend(hb.Service, hb.Backend); b != nil && b.Lost && b.Born == hb.Born && !l.keeper.Returned(now, hb) {
+		return false, nil
+	}
 	return l.keeper.Observe(now, hb, t.SlicesOf(hb.Service, hb.Backend)), nil
 }
 
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -273,3 +273,40 @@
 	is.True(r.Deregister(ctx, end).Acked)
 	is.True(r.state.Table().Backend("desk", "late").Leaving)
 }
+
+// A heartbeat is held up by a cut while its sender ends and is counted as lost. Guards
+// against a dead server that is in use again, at the leader that knew it and at a new one,
+// and against a server that only was out of reach and does not get back.
+func TestHeldUpHeartbeatDoesNotReviveALostServer(t *testing.T) {
+	for name, elect := range map[string]bool{"the same leader": false, "a new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			is, r := is.New(t), newReporters(t, 3)
+			heldUp := []wire.Heartbeat{*r.beats["b000"], *r.beats["b000"]}
+			for i := range heldUp {
+				heldUp[i].Sequence += uint64(1 + i)
+			}
+			others := func() { r.report("b001"); r.report("b002") }
+			for range 8 {
+				r.clock.Advance(time.Second)
+				others()
+				r.Tick(ctx)
+			}
+			lost := func() bool { return r.state.Table().Backend("desk", "b000").Lost }
+			is.True(lost())
+			if elect {
+				r.set(func(s *LeaderStatus) { s.Term++; s.ElectedAt = r.clock.Now() })
+			}
+			for _, hb := range heldUp {
+				r.Heartbeat(ctx, hb)
+				is.True(lost())
+			}
+			r.beats["b000"].Sequence += 2
+			r.beats["b000"].Holds = nil
+			for range 2 {
+				r.clock.Advance(DefaultHeartbeatInterval)
+				is.True(r.report("b000").Acked)
+			}
+			is.True(!lost())
+		})
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -164,7 +164,8 @@
 	l.term, l.fresh = term, false
 	l.sessions, l.joining = map[string]*session{}, map[string]int{}
 	l.loads = newLoads()
-	l.keeper = keylease.NewKeeper(keylease.Config{Hold: l.cfg.BackendHold, MaxClockDrift: backendClockDrift, MaxRanges: maxHeldRanges}, since)
+	l.keeper = keylease.NewKeeper(keylease.Config{Hold: l.cfg.BackendHold, MaxClockDrift: backendClockDrift, MaxRanges: maxHeldRanges,
+		ReturnGap: l.cfg.HeartbeatInterval / 2}, since)
 	l.staged, l.arrivals, l.repaired = newStaged(), map[string]arrivals{}, map[string]look{}
 	l.balanced, l.again = time.Time{}, false
 	l.followers, l.promises = map[string]follower{}, map[string]promise{}
--- a/internal/keylease/keeper.go
+++ b/internal/keylease/keeper.go
@@ -14,6 +14,9 @@
 	Hold time.Duration
 	// MaxClockDrift is how much slower the clock of a backend server may run.
 	MaxClockDrift float64
+	// ReturnGap is the shortest time between two heartbeats that together show that a
+	// process whose loss was recorded lives.
+	ReturnGap time.Duration
 	// MaxRanges bounds the ranges of one answer, because backend servers take no
 	// larger one. Slices beyond it are not granted until others have moved.
 	MaxRanges int
@@ -36,6 +39,8 @@
 	// the epoch that they have.
 	freed  map[sliceKey]freed
 	tokens map[sliceKey]freed
+	// returning are the first signs of processes whose loss was recorded.
+	returning map[table.BackendRef]sign
 }
 
 type sliceKey struct {
@@ -70,7 +75,8 @@
 
 // NewKeeper returns the memory of a leader that was elected at since.
 func NewKeeper(cfg Config, since time.Time) *Keeper {
-	return &Keeper{cfg: cfg, since: since, holders: map[table.BackendRef]*holder{}, freed: map[sliceKey]freed{}, tokens: map[sliceKey]freed{}}
+	return &Keeper{cfg: cfg, since: since, holders: map[table.BackendRef]*holder{}, freed: map[sliceKey]freed{}, tokens: map[sliceKey]freed{},
+		returning: map[table.BackendRef]sign{}}
 }
 
 // repeatTime is how long after its first receipt a heartbeat that comes again is
@@ -276,6 +282,11 @@
 			delete(k.holders, ref)
 		}
 	}
+	for ref := range k.returning {
+		if b := t.Backend(ref.Service, ref.Name); b == nil || !b.Lost {
+			delete(k.returning, ref)
+		}
+	}
 	for _, remembered := range []map[sliceKey]freed{k.freed, k.tokens} {
 		for key, f := range remembered {
 			s, ok := t.Lookup(key.service, key.start)
