Take requests for three seconds of a planned stop at most

Cause: the share of the stop in which requests are taken grew with the stop, the work does not. Ruled out: refusing at once; the balancer needs two looks, and callers go on using open connections meanwhile.

Change: half of the stop, 3 s at most.

--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -150,15 +150,22 @@
 	// unreadyFor is how long the host serves after it reports that it is not ready:
 	// the load balancer asks once a second and believes the second miss.
 	unreadyFor = 2500 * time.Millisecond
-	// takeShare is the part of the time to stop in which new requests are taken. The
-	// rest is for their work.
+	// takeShare is the part of the time to stop in which new requests are taken, maxTaking
+	// the longest such time. The rest is for their work, and callers are asked to leave
+	// with each answer.
 	takeShare = 0.5
+	maxTaking = 3 * time.Second
 	// quietFor ends a stop early when no request came for as long.
 	quietFor = 500 * time.Millisecond
 	// stopMargin is left for the end of the process.
 	stopMargin = 600 * time.Millisecond
 )
 
+// takingFor is how long new requests are taken during a planned stop.
+func takingFor(stop time.Duration) time.Duration {
+	return min(time.Duration(takeShare*float64(stop)), maxTaking)
+}
+
 // shutdown reports that the host is not ready and serves on, because callers go on
 // using their connections. It ends when they have left or the time is over.
 func (h *EntryHost) shutdown(hard context.Context, traffic *http.Server) error {
@@ -169,7 +176,7 @@
 	end := began.Add(h.settings.Deployment.StopTime - stopMargin)
 	for hard.Err() == nil && h.clock.Now().Before(end) {
 		now := h.clock.Now()
-		if now.Sub(began) >= time.Duration(takeShare*float64(h.settings.Deployment.StopTime)) {
+		if now.Sub(began) >= takingFor(h.settings.Deployment.StopTime) {
 			h.gateway.StopTaking()
 		}
 		if now.Sub(began) >= unreadyFor && h.gateway.InFlight() == 0 && h.gateway.Quiet(now) >= quietFor {
