Ask the next host for a permit when one is silent

What could be seen: while a control host is gone, the first requests of each entry host go to its servers without a permit; 195 hosts may have one each at a busy server, which has four slots.

Cause: after one ask without an answer the host used its own estimate, which knows nothing of a server that it seldom sends to. Ruled out: refusing what has no permit; when all control hosts are down, most servers have room.

Change: two hosts are asked before the estimate. Test: TestNextHostIsAskedWhenOneIsSilent fails with one.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -55,7 +55,12 @@
 	if !c.keyed && !b.Cold {
 		return pass{} // the choice of the server was the admission
 	}
-	if d, ok := g.desk(b); ok {
+	asked := ""
+	for range maxDesksAsked {
+		d, ok := g.desk(b, asked)
+		if !ok {
+			break
+		}
 		p, answered := g.ask(ctx, c, t, d)
 		if answered {
 			return p
@@ -63,6 +68,7 @@
 		if g.retargeted(c, t) {
 			return pass{moved: true}
 		}
+		asked = d.Host
 	}
 	if b.Cold {
 		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "the backend server is cold and its dispatcher does not answer"), delay: coldRetry}
@@ -70,14 +76,20 @@
 	return g.estimate(c, b)
 }
 
-// desk returns the first host that may keep the queue of a backend server and answers.
-func (g *Gateway) desk(b *table.Backend) (Desk, bool) {
+// maxDesksAsked is the number of hosts that one attempt asks for a permit. A lost host is
+// learnt by its first silence, and a request that is sent unasked may be one of many at a
+// busy server.
+const maxDesksAsked = 2
+
+// desk returns the first host that may keep the queue of a backend server, answers and was
+// not asked.
+func (g *Gateway) desk(b *table.Backend, asked string) (Desk, bool) {
 	now := g.cfg.Clock.Now()
 	desks := g.cfg.Permits.Desks(b)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, d := range desks {
-		if g.reach.MayAsk(now, d.Host) {
+		if d.Host != asked && g.reach.MayAsk(now, d.Host) {
 			return d, true
 		}
 	}
@@ -106,7 +118,9 @@
 	if retry, refused := s.refuses(now, a); refused {
 		return pass{refusal: verdict.Unavailable(verdict.ReasonOverloaded, "a request like this one has just been refused"), delay: retry}, true
 	}
-	c.opening = g.client.Prepare(b.Address, g.connections(c.service))
+	if c.opening == nil {
+		c.opening = g.client.Prepare(b.Address, g.connections(c.service))
+	}
 	request := wire.PermitAsk{Service: b.Service, Backend: b.Name, Born: b.Born, ID: rand.Uint64() | 1, Rank: c.match.Priority,
 		TargetMs: c.arrived.Add(c.match.Target).Sub(now).Milliseconds(), LeftMs: c.left(now).Milliseconds(),
 		ServiceMs: g.times(c.service).mean(c.match.Name).Milliseconds()}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,6 +33,8 @@
 	server  *httptest.Server
 	permit  wire.PermitReply
 	lost    bool          // no dispatcher answers
+	desks   []Desk        // that may keep queues, besides the dispatcher
+	mute    string        // the desk that does not answer
 	asked   func()        // called by each ask, if set
 	late    time.Duration // how late tables come
 	ends    []wire.PermitDone
@@ -54,10 +56,16 @@
 }
 
 // Desks implements Permits.
-func (w *world) Desks(b *table.Backend) []Desk { return []Desk{{Host: b.Dispatcher}} }
+func (w *world) Desks(b *table.Backend) []Desk {
+	return append([]Desk{{Host: b.Dispatcher}}, w.desks...)
+}
 
 // Ask implements Permits.
-func (w *world) Ask(context.Context, Desk, wire.PermitAsk) (wire.PermitReply, error) {
+func (w *world) Ask(ctx context.Context, d Desk, _ wire.PermitAsk) (wire.PermitReply, error) {
+	if d.Host == w.mute {
+		<-ctx.Done()
+		return wire.PermitReply{}, ctx.Err()
+	}
 	if w.asked != nil {
 		w.asked()
 	}
@@ -565,3 +573,19 @@
 		})
 	}
 }
+
+// Guards against a request that is sent without a permit, one of many at a busy server,
+// because one of the hosts that keep queues is gone.
+func TestNextHostIsAskedWhenOneIsSilent(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.desks, w.mute = []Desk{{Host: "c2"}}, "h2"
+	w.permit = wire.PermitReply{State: wire.PermitRefused, WaitMs: 100, Reason: "full"}
+	w.configure()
+	w.backend("desk", "b1", hello)
+	w.own("b1", 9)
+	status, _, header := w.ask("GET", "/read/x", nil)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(header.Get(verdict.Header), "not-run")
+	is.Equal(w.arrivals(), 0)
+	is.Equal(w.asks, 1)
+}
