Leave a host that keeps queues alone after two silent asks, not one

Ruled out: never leaving a host alone; each ask to a lost one would run out of time.

Change: two in a row. Test: TestOneLateAnswerIsNoLoss fails with one.

--- a/internal/permit/reach.go
+++ b/internal/permit/reach.go
@@ -7,8 +7,10 @@
 	// doubles with each further ask that is not answered, up to maxSilentPause.
 	silentPause    = time.Second
 	maxSilentPause = 4 * time.Second
-	// silentAsks is the number of unanswered asks in a row after which a host is left
-	// alone even if no other host was heard meanwhile.
+	// lateAsks is the number of unanswered asks in a row after which a host is left alone
+	// if others were heard meanwhile: one answer may be late, and while hosts differ in whom
+	// they ask, a server has two queues. After silentAsks it is left alone in any case.
+	lateAsks   = 2
 	silentAsks = 3
 )
 
@@ -56,7 +58,7 @@
 func (r *Reach) Silent(now, sent time.Time, host string) {
 	h := r.host(host)
 	h.silent++
-	if r.heard.After(sent) || h.silent >= silentAsks || h.pause > 0 {
+	if h.silent >= lateAsks && r.heard.After(sent) || h.silent >= silentAsks || h.pause > 0 {
 		h.leave(now)
 	}
 }
--- a/internal/permit/reach_test.go
+++ b/internal/permit/reach_test.go
@@ -22,6 +22,19 @@
 	}
 }
 
+// Guards against a host that is left alone for one late answer: the others go on asking
+// it, and its servers have two queues.
+func TestOneLateAnswerIsNoLoss(t *testing.T) {
+	is, r := is.New(t), NewReach()
+	for i := range 5 {
+		at := now.Add(time.Duration(i) * time.Second)
+		r.Answered(at, "b")
+		r.Silent(at, at.Add(-time.Millisecond), "a")
+		is.True(r.MayAsk(at, "a"))
+		r.Answered(at, "a")
+	}
+}
+
 // One host is gone while the others answer. Guards against asks that go on running out of
 // time there, and against a host that is not asked again once it is back.
 func TestLostHostIsLeftAloneAndTriedAgain(t *testing.T) {
