Count a caller's time from before its connection in the test

Cause: in the test. The server counts from the moment at which it accepts the connection, the test counted from after its dial returned; on a loaded machine 5 ms lie between. The host closed in time.

Change: the test counts from before the dial, so a host that closes early still fails; the bound is the same.

--- a/internal/daemon/callerconn_test.go
+++ b/internal/daemon/callerconn_test.go
@@ -30,9 +30,9 @@
 		"half a header": {"GET / HTTP/1.1\r\nHost: x\r\n", header},
 		"no request":    {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", idle + idleMargin},
 	} {
+		began := time.Now() // the server's time begins with the connection
 		conn, err := net.Dial("tcp", inner.Addr().String())
 		is.NoErr(err)
-		began := time.Now()
 		_, err = io.WriteString(conn, c.sent)
 		is.NoErr(err)
 		_, err = io.Copy(io.Discard, conn) // until the server closes
