Do not close a connection for one late answer on a crowded link

Cause: an ask that ran out of time closed the connection if nothing was heard on it for 0.1 s, with all other asks and the session's renewals on it; they failed, the control host counted as unreachable, and a new connection crossed the crowded link twice more.

Change: a call of an entry host that gave up within 0.9 s leaves the connection open; renewals, which wait for 1 s, and unacknowledged data find silent ones. Only a refused connection says at once that a host is gone. An ask may take 0.3 of the time left, 0.8 s at most (0.2 and 0.7 s before).

Test: TestEarlyTimeoutLeavesTheConnectionOpen fails without the new setting.

--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -42,6 +42,9 @@
 	// peerDialTimeout is longer than the delay that uploads cause on a link of some
 	// megabits a second.
 	peerDialTimeout = 400 * time.Millisecond
+	// peerPatience is longer than an ask for a permit may take, because uploads delay the
+	// answers of all hosts. Renewals of the session find silent connections.
+	peerPatience = 900 * time.Millisecond
 )
 
 // EntryHost serves callers in a deployment whose hosts have one role each.
@@ -61,6 +64,7 @@
 		return nil, errors.Trace(err)
 	}
 	p.client.DialTimeout, p.logClient.DialTimeout = peerDialTimeout, peerDialTimeout
+	p.client.Patience = peerPatience
 	h := &EntryHost{process: p, adapter: adapter, permits: newPermitDesk(p.clock)}
 	l := cfg.Listen
 	if err := h.listen(map[string]string{listenTraffic: l.Traffic, listenReadiness: l.Readiness, listenPeer: l.Peer, listenAdmin: l.Admin}); err != nil {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,9 +25,9 @@
 // estimate when the dispatcher does not answer. Small links delay answers by some
 // hundred milliseconds while uploads pass.
 const (
-	askShare    = 0.2
+	askShare    = 0.3
 	minAskTime  = 150 * time.Millisecond
-	maxAskTime  = 700 * time.Millisecond
+	maxAskTime  = 800 * time.Millisecond
 	askPollPart = 0.4 // of the time of an ask that the dispatcher may use
 )
 
@@ -104,10 +105,10 @@
 	switch {
 	case err == nil:
 		g.reach.Answered(now, d.Host)
-	case errors.Is(err, context.DeadlineExceeded):
-		g.reach.Silent(now, sent, d.Host)
-	default:
+	case errors.Is(err, syscall.ECONNREFUSED):
 		g.reach.Unreachable(now, d.Host)
+	default:
+		g.reach.Silent(now, sent, d.Host)
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -42,6 +42,10 @@
 	config *tls.Config
 	// DialTimeout bounds the wait for a connection. It is set before the first use.
 	DialTimeout time.Duration
+	// Patience is the shortest time after which a call without an answer says that its
+	// connection is silent. It is set before the first use; a host whose own link may be
+	// crowded for longer than its calls wait needs it.
+	Patience time.Duration
 	// open is net.Dialer except in tests.
 	open func(ctx context.Context, address string) (net.Conn, error)
 
@@ -295,7 +299,8 @@
 	}
 	gaveUp := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 	heard := conn.answered.Load() >= min(sent.UnixNano(), time.Now().Add(-silentFor).UnixNano())
-	if gaveUp && heard && !disconnected(conn) {
+	early := time.Since(sent) < c.Patience
+	if gaveUp && (heard || early) && !disconnected(conn) {
 		return
 	}
 	c.drop(address, conn)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -172,3 +172,32 @@
 	}
 	is.True(begun.Load() <= maxDialing)
 }
+
+// Uploads crowd a host's own link, and answers take longer than its calls wait. Guards
+// against a call that closes the connection of all others, of the session too, and makes
+// them cross the crowded link twice more for a new one.
+func TestEarlyTimeoutLeavesTheConnectionOpen(t *testing.T) {
+	is := is.New(t)
+	s, address := echo(t, nil, bound)
+	crowded := make(chan struct{})
+	s.Register("slow", Handle(func(_ context.Context, text string) (string, error) {
+		<-crowded
+		return text, nil
+	}))
+	c := NewClient(timeline.NewClock(time.Now), nil)
+	defer c.Close()
+	c.Patience = bound
+	_, err := call(c, address, "echo", bound)
+	is.NoErr(err)
+	time.Sleep(2 * silentFor) // nothing was heard lately
+	answered := make(chan error, 1)
+	go func() {
+		_, err := call(c, address, "slow", bound)
+		answered <- err
+	}()
+	_, err = call(c, address, "slow", 10*time.Millisecond)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.True(c.Connected(address))
+	close(crowded)
+	is.NoErr(<-answered)
+}
