--- a/internal/daemon/connect.go
+++ b/internal/daemon/connect.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// connectInterval is the time between two looks at the connections to dispatchers.
+	// connectInterval is the time between two looks at the connections to givers of permits.
 	connectInterval = 250 * time.Millisecond
 	// connectsPerRound spreads the opening of connections after a start.
 	connectsPerRound = 8
-	// maxKeptPeers bounds the dispatchers to which connections are kept open. A
+	// maxKeptPeers bounds the hosts to which connections are kept open. A
 	// connection takes some 20 KB on both sides.
 	maxKeptPeers = 128
 )
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -21,14 +21,14 @@
 // answer. Its session ends within two seconds, and another one takes over.
 const coldRetry = time.Second
 
-// An ask takes a part of the request's time at most, so that there is time for the
-// estimate when the dispatcher does not answer. Small links delay answers by some
-// hundred milliseconds while uploads pass.
+// An ask takes a part of the request's time at most, so that there is time for another
+// host or the estimate when there is no answer. Small links delay answers by some hundred
+// milliseconds while uploads pass.
 const (
 	askShare    = 0.3
 	minAskTime  = 150 * time.Millisecond
 	maxAskTime  = 800 * time.Millisecond
-	askPollPart = 0.4 // of the time of an ask that the dispatcher may use
+	askPollPart = 0.4 // of the time of an ask that the asked host may use
 )
 
 func askTime(left time.Duration) time.Duration {
@@ -183,8 +183,8 @@
 	return !ok || slice.Owner != t.slice.Owner || slice.Epoch != t.slice.Epoch
 }
 
-// unaidedRequests bounds the requests that this host has at a server without the
-// server's dispatcher: all other hosts may be without it too.
+// unaidedRequests bounds the requests without a permit that this host has at a server:
+// all other hosts may have as many.
 const unaidedRequests = 1
 
 // estimate decides by what this host knows of the server's load.
@@ -208,14 +208,14 @@
 	return pass{}
 }
 
-// refuses reports whether the dispatcher of the server would refuse an ask.
+// refuses reports whether the host that keeps the queue of the server would refuse an ask.
 func (s *server) refuses(now time.Time, a permit.Ask) (retry time.Duration, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.outlook.Refuses(now, a)
 }
 
-// refused notes that the dispatcher refused an ask.
+// refused notes that an ask was refused.
 func (s *server) refused(now time.Time, a permit.Ask, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -13,7 +13,7 @@
 type server struct {
 	mu      sync.Mutex
 	backlog *backlog.Server
-	// outlook is what the server's dispatcher refused.
+	// outlook is what the host that keeps the server's queue refused.
 	outlook permit.Outlook
 	// down is until when the server is not tried, after connections failed.
 	down time.Time
--- a/internal/permit/outlook.go
+++ b/internal/permit/outlook.go
@@ -15,7 +15,7 @@
 
 // Outlook is what an entry host remembers of the refusals of one queue, so that it
 // does not ask for what would be refused again: when a key is hot, the asks of all
-// hosts are more than the dispatcher and its link bear. It is not safe for
+// hosts are more than the host that keeps the queue and its link bear. It is not safe for
 // concurrent use.
 type Outlook struct {
 	until, refused time.Time
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -41,6 +41,19 @@
 	return l.Addr().String()
 }
 
+// sound returns the address of a server that answers each request with a text.
+func sound(t *testing.T, text string) string {
+	return backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, req.Header.Get("Id"), text)
+		}
+	})
+}
+
 // unserved returns an address that refuses connections. Its socket is bound, so
 // that no other test gets the port.
 func unserved(t *testing.T) string {
@@ -327,15 +340,7 @@
 // of the same host wait for hundreds of milliseconds.
 func TestBodiesKeepToTheirRate(t *testing.T) {
 	is := is.New(t)
-	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
-		for {
-			req, err := readRequest(r)
-			if err != nil {
-				return
-			}
-			answer(c, req.Header.Get("Id"), "read")
-		}
-	})
+	address := sound(t, "read")
 	client := newClient()
 	const perSecond, size = 100 << 10, 20 << 10
 	client.cfg.BodyRate = rate.NewLimiter(perSecond, BodyChunk)
@@ -415,15 +420,7 @@
 // refused.
 func TestPreparedConnections(t *testing.T) {
 	is := is.New(t)
-	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
-		for {
-			req, err := readRequest(r)
-			if err != nil {
-				return
-			}
-			answer(c, req.Header.Get("Id"), "hello")
-		}
-	})
+	address := sound(t, "hello")
 	client := newClient()
 	req := request(address, "a")
 	req.Opening = client.Prepare(address, 1)
