Keep the part of a split slice that a running request names

The dispatcher counted requests in flight by key only.

Change: requests in flight are counted with the start that the server was told; the part that begins there stays in the order until they end. The scenario prints what a refusal said.

Test: TestSplitKeepsThePartThatARequestNames.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -53,6 +53,7 @@
 type flight struct {
 	s         *server
 	r         *Request
+	as        sentAs
 	admission *limit.Admission
 	transport *http.Transport
 	address   string
@@ -99,10 +100,11 @@
 }
 
 func (s *server) launch(r *Request, slice table.Slice, admission *limit.Admission, now time.Time) *flight {
-	s.inFlight[r.Hash]++
+	as := sentAs{r.Hash, slice.Start}
+	s.inFlight[as]++
 	s.total++
 	s.counts.add(r, slice.Start)
-	return &flight{s: s, r: r, admission: admission, transport: s.traffic, address: s.rec.Address,
+	return &flight{s: s, r: r, as: as, admission: admission, transport: s.traffic, address: s.rec.Address,
 		stamp: s.stampFor(r, slice), began: now}
 }
 
@@ -297,8 +299,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.d.cfg.Clock.Now()
-	if s.inFlight[f.r.Hash]--; s.inFlight[f.r.Hash] == 0 {
-		delete(s.inFlight, f.r.Hash)
+	if s.inFlight[f.as]--; s.inFlight[f.as] == 0 {
+		delete(s.inFlight, f.as)
 		if !s.settled {
 			s.wake()
 		}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -124,9 +124,12 @@
 	return slices.ContainsFunc(s.slices, func(sl table.Slice) bool { return sl.State == table.SliceReleasing })
 }
 
+// busy reports whether a slice has requests in flight; s.mu is held. One that was sent
+// before its slice was split names the start of the whole, and the server gives it up with
+// the part that begins there.
 func (s *server) busy(sl table.Slice) bool {
-	for hash := range s.inFlight {
-		if hash >= sl.Start && hash <= sl.Last {
+	for as := range s.inFlight {
+		if as.hash >= sl.Start && as.hash <= sl.Last || as.slice == sl.Start {
 			return true
 		}
 	}
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -413,3 +413,24 @@
 	w.Equal(reply.LeaseMs, int64(0))
 	w.until("report", func() bool { return w.proposed(func(c *command.Command) bool { return c.HandedOver != nil }) })
 }
+
+// A hot slice is split while a long upload for one of its keys runs, and the part without
+// that key moves away. Guards against the upload being dropped: it names the start of the
+// slice as it was, and a server gives it up with that part.
+func TestSplitKeepsThePartThatARequestNames(t *testing.T) {
+	w := newWorld(t, nil).ready()
+	finish := w.hold()
+	whole, _ := w.table.Load().Lookup("desk", 0)
+	key := w.request("", "", "").Hash
+	rest, hot := whole, whole
+	rest.Last, hot.Start = key-1, key
+	w.change(func(b *table.Builder) { b.PutSlice("desk", rest); b.PutSlice("desk", hot) })
+	w.releaseSlice(0)
+	w.record(func(r *table.Backend) { r.Epoch = 9 }) // forces an order while the request is in flight
+	w.until("order of epoch 9", func() bool { o, _ := w.b.lastOrder(); return o.Epoch == 9 })
+	o, _ := w.b.lastOrder()
+	w.Equal(len(o.Slices), 3)
+	w.True(!w.proposed(func(c *command.Command) bool { return c.Released != nil }))
+	w.Equal(finish(), nil)
+	w.until("released", func() bool { return w.proposed(func(c *command.Command) bool { return c.Released != nil }) })
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -20,6 +20,10 @@
 // from the epochs of two dispatchers, so that a later dispatcher's are higher.
 const leaseNumberBits = 20
 
+// sentAs is what the server was told of a request: its key hash, and the start of the slice
+// that held it then.
+type sentAs struct{ hash, slice uint64 }
+
 // server is the state of one backend server on its dispatcher.
 type server struct {
 	d    *Dispatcher
@@ -47,7 +51,7 @@
 	proposing  bool
 	proposeGap time.Time // no proposal is made before
 
-	inFlight  map[uint64]int // requests sent and not ended, by key hash
+	inFlight  map[sentAs]int // requests sent and not ended
 	total     int
 	admission *limit.Admission
 	waiters   map[uint64]chan waitResult
@@ -70,7 +74,7 @@
 func newServer(d *Dispatcher, key serverKey) *server {
 	ctx, stop := context.WithCancel(d.ctx)
 	s := &server{d: d, key: key, kick: make(chan struct{}, 1), changed: make(chan struct{}),
-		inFlight: map[uint64]int{}, waiters: map[uint64]chan waitResult{}, counts: newCounts(), stop: stop}
+		inFlight: map[sentAs]int{}, waiters: map[uint64]chan waitResult{}, counts: newCounts(), stop: stop}
 	go s.loop(ctx)
 	return s
 }
--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -100,8 +100,13 @@
 			done <- err.Error()
 			return
 		}
+		said := strings.TrimSpace(response.Status + " " + response.Header.Get(verdict.ReasonHeader))
+		if response.StatusCode != http.StatusOK {
+			detail, _ := io.ReadAll(response.Body) // what came of it is shown
+			said += ": " + string(detail)
+		}
 		_ = response.Body.Close()
-		done <- strings.TrimSpace(response.Status + " " + response.Header.Get(verdict.ReasonHeader))
+		done <- said
 	}()
 	_, err = writer.Write(half)
 	ts.Check(err)
