--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -46,7 +46,8 @@
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
 	cfg Config
-	// Opened and Reused count the connections that requests got.
+	// Opened counts the connections that were opened, Reused the requests that got a kept
+	// one.
 	Opened, Reused atomic.Int64
 
 	// dialer is dialTCP except in tests.
