Show decisions by old tables, and what control hosts work on

The logs could not tell the hypotheses apart: H1 needs the age of the table at the moment of each 404 and each sending, not only of refusals; H2 needs what a control host spends its time on, by kind, and whether it was woken late. No decision is changed; the bound is named (apply_time, new in the settings) and only reported.

--- a/internal/control/inforce.go
+++ b/internal/control/inforce.go
@@ -91,6 +91,8 @@
 
 // behind returns the hosts that a change still waits for, and whether its time is over.
 func (l *Leader) behind(key string) (hosts []string, over bool) {
+	began := l.cfg.Clock.Now()
+	defer func() { l.cfg.Worked("look for hosts behind", l.cfg.Clock.Now().Sub(began)) }()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, waits := l.promises[key]
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -86,6 +86,8 @@
 	// Gather is how long an answer to a watch waits for further changes, per entry
 	// host; zero answers at once.
 	Gather time.Duration
+	// Worked is told the kind and the time of pieces of work, without waits; it may be nil.
+	Worked func(kind string, took time.Duration)
 	// BalanceInterval is the interval of decisions to split and move slices.
 	BalanceInterval time.Duration
 	// MaxMoving bounds the slices of one service that move at the same time.
@@ -102,6 +104,9 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
+	if c.Worked == nil {
+		c.Worked = func(string, time.Duration) {}
+	}
 	setDefault(&c.Tick, DefaultTick)
 	setDefault(&c.BalanceInterval, DefaultBalanceInterval)
 	setDefault(&c.MaxMoving, DefaultMaxMoving)
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -247,12 +247,14 @@
 			return wire.TableReply{Leader: st.LeaderHost, Reason: err.Error()}
 		}
 		l.noteFollower(req.Host, req.Revision)
+		began := l.cfg.Clock.Now()
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
 		if delta != nil || snapshot != nil {
 			reply := wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost, IdleMs: idle.Milliseconds()}
 			l.addDeltas(&reply)
 			reply.Current = l.cfg.State.Table().Revision()
+			l.cfg.Worked("watch answer", l.cfg.Clock.Now().Sub(began))
 			return reply
 		}
 		select {
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -81,7 +81,9 @@
 			due = append(due, l.balanceService(t, s.File.Service, loads[s.File.Service])...)
 		}
 	}
-	l.noteCost(l.cfg.Clock.Now().Sub(began))
+	cost := l.cfg.Clock.Now().Sub(began)
+	l.noteCost(cost)
+	l.cfg.Worked("balance", cost)
 	if graceOver {
 		for _, h := range fleet.PlanHandOvers(t) {
 			due = append(due, command.Command{HandOver: &h})
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"os"
 	"path/filepath"
@@ -96,11 +97,18 @@
 func (h *ControlHost) awaitEnd(ctx context.Context) error {
 	ticker := time.NewTicker(endCheck)
 	defer ticker.Stop()
+	last := h.clock.Now()
+	logged := last
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			last = h.noteWakeUp(last)
+			if last.Sub(logged) >= workLogInterval {
+				logged = last
+				h.logWork()
+			}
 			if err := h.replica.failure(); err != nil {
 				return errors.Annotate(err, "the control replica stopped")
 			}
@@ -108,6 +116,33 @@
 	}
 }
 
+// lateWakeUp is the delay of a timer that is logged. The leader's lease is some three
+// times as long.
+const lateWakeUp = 100 * time.Millisecond
+
+// workLogInterval is the time between two lines about the work of a control host.
+const workLogInterval = time.Second
+
+// logWork logs the totals of the work since the start.
+func (h *ControlHost) logWork() {
+	h.logger.Info("work so far", zap.Bool("leads", h.replica.Status().IsLeader), zap.Any("calls", json.RawMessage(work.calls.String())),
+		zap.Any("count", json.RawMessage(work.count.String())), zap.Any("us", json.RawMessage(work.micros.String())),
+		zap.Int64("woken_late_ms", work.wokenLateMs.Value()))
+}
+
+// noteWakeUp notes by how much a tick that was due after endCheck is late.
+func (h *ControlHost) noteWakeUp(last time.Time) time.Time {
+	now := h.clock.Now()
+	late := now.Sub(last) - endCheck
+	if late > 0 {
+		work.wokenLateMs.Add(late.Milliseconds())
+	}
+	if late >= lateWakeUp {
+		h.logger.Info("process was woken late", zap.Duration("late", late))
+	}
+	return now
+}
+
 func (h *ControlHost) shutdown(hard context.Context) {
 	h.logger.Info("stopping")
 	h.record("stopping", h.settings.Host, "")
@@ -148,7 +183,7 @@
 	h.leader = control.NewLeader(control.LeaderConfig{
 		State: h.state, Proposer: h.replica, Clock: h.clock, Logger: h.logger,
 		SessionTTL: cfg.Timing.SessionTTL, MaxClockDrift: cfg.Timing.MaxClockDrift, Poll: cfg.Timing.WatchPoll,
-		BackendHold: cfg.Deployment.Hold, HeartbeatInterval: cfg.Deployment.Heartbeat, Replicas: h.memberAddresses, Gather: gatherPerHost,
+		BackendHold: cfg.Deployment.Hold, HeartbeatInterval: cfg.Deployment.Heartbeat, Replicas: h.memberAddresses, Gather: gatherPerHost, Worked: work.done,
 	})
 	return nil
 }
@@ -186,17 +221,22 @@
 }
 
 func (h *ControlHost) registerMethods() {
-	h.peers.Register(wire.MethodTimelineRead, peer.Handle(h.handleTimeline))
+	h.serveCalls(wire.MethodTimelineRead, peer.Handle(h.handleTimeline))
 	h.peers.RegisterOrdered(wire.MethodReplicationStep, peer.Handle(h.handleStep))
-	h.peers.Register(wire.MethodSessionRenew, peer.Handle(h.handleRenew))
-	h.peers.Register(wire.MethodTableWatch, peer.Handle(h.handleWatch))
-	h.peers.Register(wire.MethodOperate, peer.Handle(h.handleOperate))
-	h.peers.Register(wire.MethodHeartbeat, peer.Handle(h.handleHeartbeat))
-	h.peers.Register(wire.MethodDeregister, peer.Handle(h.handleDeregister))
-	h.peers.Register(wire.MethodReadItems, peer.Handle(h.handleReadItems))
-	h.peers.Register(wire.MethodPermitAsk, peer.Handle(h.handlePermitAsk))
-	h.peers.Register(wire.MethodPermitDone, peer.Handle(h.handlePermitDone))
-	h.peers.Register(wire.MethodReplicaHello, peer.Handle(h.handleHello))
+	h.serveCalls(wire.MethodSessionRenew, peer.Handle(h.handleRenew))
+	h.serveCalls(wire.MethodTableWatch, peer.Handle(h.handleWatch))
+	h.serveCalls(wire.MethodOperate, peer.Handle(h.handleOperate))
+	h.serveCalls(wire.MethodHeartbeat, peer.Handle(h.handleHeartbeat))
+	h.serveCalls(wire.MethodDeregister, peer.Handle(h.handleDeregister))
+	h.serveCalls(wire.MethodReadItems, peer.Handle(h.handleReadItems))
+	h.serveCalls(wire.MethodPermitAsk, peer.Handle(h.handlePermitAsk))
+	h.serveCalls(wire.MethodPermitDone, peer.Handle(h.handlePermitDone))
+	h.serveCalls(wire.MethodReplicaHello, peer.Handle(h.handleHello))
+}
+
+// serveCalls registers a method and counts its calls.
+func (h *ControlHost) serveCalls(method string, handler peer.Handler) {
+	h.peers.Register(method, work.counted(method, handler))
 }
 
 func (h *ControlHost) handleStep(_ context.Context, step wire.ReplicationStep) (struct{}, error) {
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -30,6 +30,10 @@
 	// server is used. The rest is for the way of the news and of the requests.
 	drainTimeUsed    = 0.3
 	evacuateTimeUsed = 0.5
+	// tableTimeUsed is the part of the time to apply a change, or to drain if that is
+	// shorter, up to which an entry host acts by a table that nobody has confirmed since.
+	// The rest is for the way of a request that was sent at the last moment.
+	tableTimeUsed = 0.6
 	// bodyShare is the part of the link that request bodies may take. Answers, asks for
 	// permits and news of the control group share the rest.
 	bodyShare    = 0.6
@@ -88,11 +92,17 @@
 		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * d.RetrySlack,
 			LeaveFor:           time.Duration(drainTimeUsed * float64(d.DrainTime)),
 			EvacuateFor:        time.Duration(evacuateTimeUsed * float64(d.EvacuateTime)),
+			TableFor:           tableFor(d),
 			BodyBytesPerSecond: bodyShare * bytesPerMbit * cfg.Limits.LinkMbps},
 	})
 	return h, nil
 }
 
+// tableFor is the longest age of a routing table by which an entry host acts.
+func tableFor(d settings.Deployment) time.Duration {
+	return time.Duration(tableTimeUsed * float64(min(d.ApplyTime, d.DrainTime)))
+}
+
 // seedReplicas returns the seeds as replicas, which are named by their addresses.
 func seedReplicas(cfg *settings.Settings) []session.Replica {
 	var out []session.Replica
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -37,8 +37,8 @@
 	config.GroupID = group
 	config.Host = host
 	config.ID = store.Identity().ID()
-	config.Storage = store
-	config.StateMachine = state
+	config.Storage = measuredStore{store}
+	config.StateMachine = measuredState{state}
 	r := &replica{store: store, state: state, config: config}
 	if err := r.start(); err != nil {
 		_ = store.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,9 @@
 	LeaveFor time.Duration
 	// EvacuateFor is the same after its data centre was taken out.
 	EvacuateFor time.Duration
+	// TableFor is the longest age of the routing table by which a request may be answered
+	// or sent; zero means no bound.
+	TableFor time.Duration
 	// BodyBytesPerSecond bounds what bodies take of the host's link; zero means no
 	// bound.
 	BodyBytesPerSecond float64
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -201,6 +201,9 @@
 	if c != nil {
 		took = g.cfg.Clock.Now().Sub(c.arrived)
 	}
+	if e.Reason == verdict.ReasonNoRoute {
+		g.noteOldTable(decisionNoRoute, c)
+	}
 	outcome := "refused"
 	if e.Verdict != verdict.NotRun {
 		outcome = "failed"
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -274,6 +274,7 @@
 		req.Body = c.body.reader()
 	}
 	req.Left = func(h http.Header) *verdict.Error {
+		g.noteOldTable(decisionSent, c)
 		left := c.left(g.cfg.Clock.Now())
 		if left <= 0 {
 			return verdict.Unavailable(verdict.ReasonDeadline, "the time is over before the request was sent")
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -55,7 +55,10 @@
 	// DrainTime is how long after the acknowledgement of its end a backend server
 	// may get new requests, EvacuateTime the same for a data centre that is taken
 	// out. Defaults 2s and 5s.
-	DrainTime    time.Duration `yaml:"drain_time"`
+	DrainTime time.Duration `yaml:"drain_time"`
+	// ApplyTime is how long after the acknowledgement of a change of the configuration
+	// an entry host may still act by the one before. Default 2s.
+	ApplyTime    time.Duration `yaml:"apply_time"`
 	EvacuateTime time.Duration `yaml:"evacuate_time"`
 	// StopTime is the time between SIGTERM and SIGKILL. Default 6s.
 	StopTime time.Duration `yaml:"stop_time"`
@@ -64,7 +67,7 @@
 func defaultDeployment() Deployment {
 	return Deployment{ToleratedLosses: 1, Heartbeat: 870 * time.Millisecond, MaxHold: 10 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdOvershoot: 1.5, ColdSlack: 5,
-		DrainTime: 2 * time.Second, EvacuateTime: 5 * time.Second, StopTime: 6 * time.Second}
+		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second, EvacuateTime: 5 * time.Second, StopTime: 6 * time.Second}
 }
 
 // provision fills in what depends on other settings.
@@ -120,6 +123,7 @@
 	d.Require(v.ColdOvershoot >= 1, "deployment.cold_overshoot", "is %v; must be at least 1", v.ColdOvershoot)
 	d.Require(v.ColdSlack >= 0, "deployment.cold_slack", "is %g; must not be negative", v.ColdSlack)
 	yamldoc.RequireRange(d, "deployment.drain_time", v.DrainTime, 0, time.Hour)
+	yamldoc.RequireRange(d, "deployment.apply_time", v.ApplyTime, 100*time.Millisecond, time.Hour)
 	yamldoc.RequireRange(d, "deployment.evacuate_time", v.EvacuateTime, 0, time.Hour)
 	yamldoc.RequireRange(d, "deployment.stop_time", v.StopTime, time.Second, time.Hour)
 }
