A majority of replicas tells how old a reader's state can be

Each replica publishes, before it acknowledges anything, the index of the last command in its log that withdraws something (a patch, a drain, the end of a server). A state that has reached these barriers at a majority of the same voters, all asked after a moment, lacks no such command that was committed before it: the majority that committed it and the majority that answered share a replica. No leader, lease or clock takes part.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -264,6 +264,24 @@
 	return &c, nil
 }
 
+// Withdraws reports whether a command may take something away that hosts act on by their
+// tables: a route, a backend server that leaves, a data centre that is taken out. Hosts
+// must not go on without it for long after it was acknowledged. Commands that are packed
+// or cannot be read count as such.
+func Withdraws(data []byte) bool {
+	if len(data) == 0 || data[0] < firstPlain {
+		return true
+	}
+	var c struct {
+		PatchItems, Publish, Drain msgpack.RawMessage
+		BackendReported            *struct{ Leaving bool }
+	}
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return true
+	}
+	return c.PatchItems != nil || c.Publish != nil || c.Drain != nil || c.BackendReported != nil && c.BackendReported.Leaving
+}
+
 // EncodeResult returns the log form of r. Equal results have equal forms, because
 // every replica stores them.
 func EncodeResult(r *Result) ([]byte, error) {
--- /dev/null
+++ b/internal/confirm/confirm_test.go
@@ -0,0 +1,84 @@
+package confirm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	voters = []string{"a", "b", "c", "d", "e"}
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func (c *Confirmations) add(replica string, ms int, barrier uint64, group []string) {
+	c.Add(Answer{Asked: at(ms), Replica: replica, Voters: group, Barrier: barrier})
+}
+
+// Guards against a table that counts as current by the word of fewer than a majority, or
+// by questions that were not all sent by then.
+func TestAMajorityConfirms(t *testing.T) {
+	is := is.New(t)
+	var c Confirmations
+	c.add("a", 400, 5, voters)
+	c.add("b", 300, 5, voters)
+	is.True(c.AsOf(5).IsZero())
+	c.add("c", 100, 4, voters)
+	is.Equal(c.AsOf(5), at(100))
+	c.add("d", 200, 9, voters) // knows of a change that the table lacks
+	is.Equal(c.AsOf(5), at(100))
+	is.Equal(c.AsOf(9), at(200))
+	is.Equal(c.AsOf(5), at(200)) // tables do not go back
+}
+
+// Guards against answers that arrive out of order, and against a table that is never
+// confirmed while each answer names a later change than the table has.
+func TestAnswersWaitForTheTable(t *testing.T) {
+	is := is.New(t)
+	var c Confirmations
+	for i, replica := range voters[:3] {
+		for round := range 4 {
+			c.add(replica, 400*(3-round)+i, uint64(13-round), voters) // the newest first
+		}
+	}
+	is.Equal(c.AsOf(10), at(0))
+	is.Equal(c.AsOf(12), at(800))
+	since, behind := c.Behind(12)
+	is.True(behind)
+	is.Equal(since, at(1200))
+	is.Equal(c.AsOf(13), at(1200))
+	_, behind = c.Behind(13)
+	is.True(!behind)
+}
+
+// A control host lost its disk and another one took its place. Guards against a majority
+// of replicas that do not agree on the voters: it need not hold what was committed.
+func TestAnswersUnderDifferentVotersAreNotAdded(t *testing.T) {
+	is := is.New(t)
+	var c Confirmations
+	after := []string{"a", "b", "c", "d", "f"}
+	c.add("d", 100, 5, voters)
+	c.add("e", 100, 5, voters)
+	c.add("a", 100, 5, after)
+	c.add("b", 100, 5, after)
+	is.True(c.AsOf(5).IsZero())
+	c.add("f", 50, 5, after)
+	is.Equal(c.AsOf(5), at(50))
+	c.add("a", 300, 5, nil) // a replica without a group
+	c.add("f", 300, 5, nil)
+	c.add("e", 300, 5, nil)
+	is.Equal(c.AsOf(5), at(50))
+}
+
+// Guards against memory that grows while the table does not.
+func TestOpenAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	var c Confirmations
+	for i := range 10 * maxOpen {
+		c.add("a", i, uint64(i+1), voters)
+	}
+	is.Equal(len(c.open["a"]), maxOpen)
+}
--- a/internal/replication/config.go
+++ b/internal/replication/config.go
@@ -43,6 +43,8 @@
 	Transport    Transport
 	StateMachine StateMachine
 	Clock        clock.Clock
+	// Marks tells the commands that a Barrier is about; nil means all.
+	Marks func(command []byte) bool
 	// SnapshotEvery is the least number of applied entries between snapshots.
 	SnapshotEvery uint64
 	// OnLeaderChange is called from the node's goroutine when the known leader
@@ -85,7 +87,7 @@
 
 func (c *Config) core() CoreConfig {
 	return CoreConfig{ID: c.ID, Group: c.GroupID, Seed: c.Seed, ElectionTicksMin: c.ElectionTicksMin,
-		ElectionTicksMax: c.ElectionTicksMax, HeartbeatTicks: c.HeartbeatTicks}
+		ElectionTicksMax: c.ElectionTicksMax, HeartbeatTicks: c.HeartbeatTicks, Marks: c.Marks}
 }
 
 // leaseWindow is how long a leader may rely on a heartbeat after sending it.
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -42,6 +42,8 @@
 	ElectionTicksMin int
 	ElectionTicksMax int
 	HeartbeatTicks   int
+	// Marks is that of Config.
+	Marks func(command []byte) bool
 }
 
 func (c CoreConfig) validate() error {
@@ -125,7 +127,7 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
-	log, err := newMemoryLog(p.Snapshot, p.Entries)
+	log, err := newMemoryLog(p.Snapshot, p.Entries, cfg.Marks)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replication/driver.go
+++ b/internal/replication/driver.go
@@ -30,6 +30,8 @@
 	}
 	err    error
 	status atomic.Pointer[Status]
+	// barrier is as of the last messages that were sent.
+	barrier atomic.Pointer[Barrier]
 
 	counters counters
 }
@@ -68,6 +70,7 @@
 		}
 		d.applied, d.snapshot = s.Index, s.Index
 	}
+	d.publishBarrier()
 	d.process()
 	return d, d.err
 }
@@ -108,6 +111,7 @@
 		if rd.empty() {
 			break
 		}
+		d.publishBarrier()
 		d.sendAll(rd.Early)
 		if err := d.persist(rd); err != nil {
 			d.fail(err)
--- a/internal/replication/log.go
+++ b/internal/replication/log.go
@@ -12,6 +12,11 @@
 	entries   []Entry
 	synced    uint64 // last entry that is durable
 	configs   []config
+	// marks tells the commands that readers must not miss, and marked is at or after the
+	// index of the last of them that is in the log or its snapshot, or was until it was
+	// truncated.
+	marks  func(command []byte) bool
+	marked uint64
 }
 
 // config is the member list in force from index on.
@@ -20,8 +25,8 @@
 	members []Member
 }
 
-func newMemoryLog(s Snapshot, entries []Entry) (*memoryLog, error) {
-	l := &memoryLog{baseIndex: s.Index, baseTerm: s.Term, configs: []config{{s.Index, s.Members}}}
+func newMemoryLog(s Snapshot, entries []Entry, marks func(command []byte) bool) (*memoryLog, error) {
+	l := &memoryLog{baseIndex: s.Index, baseTerm: s.Term, configs: []config{{s.Index, s.Members}}, marks: marks, marked: s.Index}
 	if err := CheckEntries(s.Index, entries); err != nil {
 		return nil, err
 	}
@@ -93,6 +98,9 @@
 			}
 			l.configs = append(l.configs, config{e.Index, members})
 		}
+		if e.Kind == EntryCommand && (l.marks == nil || l.marks(e.Data)) {
+			l.marked = e.Index
+		}
 		l.entries = append(l.entries, e)
 	}
 	return nil
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -33,6 +33,8 @@
 	clock          int64      // orders calls and outcomes
 	plan           []func() *simCall
 	planned        *simCall
+	each           func()                    // called after each step, if set
+	marks          func(command []byte) bool // that replicas are started with
 }
 
 type observed struct {
@@ -116,7 +118,7 @@
 func (h *simHost) start() {
 	h.state, h.seen, h.store.failSync, h.store.failed = &journal{pad: h.s.rng.IntN(50)}, 0, false, false
 	cfg := Config{GroupID: "g", Seed: h.s.rng.Uint64(), Storage: h.store, Transport: h, StateMachine: h.state,
-		Clock: h, MaxClockDrift: simDrift, SnapshotEvery: 30}
+		Clock: h, MaxClockDrift: simDrift, SnapshotEvery: 30, Marks: h.s.marks}
 	if h.s.spread == 1 {
 		cfg.ElectionTicksMax = DefaultElectionTicksMin + 1
 	}
@@ -159,6 +161,9 @@
 	}
 	s.calls = slices.DeleteFunc(s.calls, (*simCall).finished)
 	s.checkLeases()
+	if s.each != nil {
+		s.each()
+	}
 }
 
 // run lets the driver work and checks what it did.
--- a/internal/replication/snapshot.go
+++ b/internal/replication/snapshot.go
@@ -79,7 +79,7 @@
 }
 
 func (c *Core) restore(s Snapshot) error {
-	log, err := newMemoryLog(s, nil)
+	log, err := newMemoryLog(s, nil, c.cfg.Marks)
 	if err != nil {
 		return err
 	}
