Bound the age of the table by which an entry host acts

Cause: an acknowledgement promised that a change is in force, and nothing kept a host from acting by a table of any age. The leader waited 0.5 s for hosts and then acknowledged all the same; whatever delayed a table for longer broke the promise. The age of a table was also wrong: a control host that is paused after it has read its table, or is cut off, vouched for time at which it knew nothing.

Change: each entry host asks all control hosts every 0.4 s for their barriers. A majority of answers says as of when its table lacks nothing that was acknowledged. Past 0.6 of the shorter of apply_time and drain_time, no request is answered 404, routed or written: it waits for the confirmation for up to 0.4 s, and is then refused as not run with a time to return. The look is repeated just before the request is written, together with one at the target, because permits and connections take time. Changes are acknowledged once they are committed. A host that stays blind sends callers to others.

With the age known, tables need not come from the leader: any replica's are committed. Each host follows a control host of its own and turns to the next when that one is silent or behind, so that a leader short of processor time no longer keeps news from all hosts.

TestChangesCountFromTheLastNewestTable becomes TestChangesCountFromTheLastCurrentTable: an answer's word that there was no change until some moment no longer counts, a majority's does. The time for which a leaving owner is used is 0.45 of the drain time, 0.3 before, since it now counts from the last confirmation, some 0.3 s earlier.

Ruled out: a lease on tables from the leader, because all hosts would stop with each election; confirmations go on without a leader.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -39,9 +39,6 @@
 	}
 	l.grantFreed(ctx, &hb)
 	l.beginMoves(ctx, &hb)
-	if hb.Leaving {
-		l.awaitHosts(ctx, leavingPromise(hb.Service, hb.Backend))
-	}
 	return l.lease(&hb)
 }
 
@@ -56,7 +53,6 @@
 		if err := l.recordLeaving(ctx, b); err != nil {
 			return wire.HeartbeatReply{Reason: err.Error()}
 		}
-		l.awaitHosts(ctx, leavingPromise(b.Service, b.Name))
 	}
 	return wire.HeartbeatReply{Acked: true}
 }
@@ -72,7 +68,6 @@
 	if err != nil {
 		return errors.Annotate(err, "recording the end")
 	}
-	l.promised(leavingPromise(b.Service, b.Name), res.Revision)
 	l.cfg.Logger.Info("backend server deregistered", zap.String("backend", b.Name), zap.String("service", b.Service),
 		zap.Int64("born", b.Born), zap.String("result", string(res.Code)), zap.Uint64("revision", res.Revision))
 	return nil
@@ -110,9 +105,6 @@
 	case res.Code != command.ResultOK:
 		return wire.HeartbeatReply{Refused: true, Reason: res.Detail}, true
 	}
-	if hb.Leaving {
-		l.promised(leavingPromise(hb.Service, hb.Backend), res.Revision)
-	}
 	l.cfg.Logger.Info("backend server recorded", zap.String("backend", hb.Backend), zap.String("service", hb.Service),
 		zap.Int64("born", hb.Born), zap.Uint64("sequence", hb.Sequence), zap.Bool("leaving", hb.Leaving),
 		zap.Int64("cold_ms", hb.ColdMs), zap.Uint64("revision", res.Revision))
@@ -188,7 +180,6 @@
 		if err := l.recordLeaving(ctx, b); err != nil {
 			return wire.HeartbeatReply{Reason: err.Error()}
 		}
-		l.awaitHosts(ctx, leavingPromise(b.Service, b.Name))
 	}
 	if !known {
 		// Its first heartbeat may still be on its way. Nothing can be recorded, so
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -143,10 +143,6 @@
 	// balanceCost is the time that the last of these decisions took.
 	balanceCost time.Duration
 	wake        chan struct{}
-	// followers are the entry hosts that asked this leader for the table, by name, and
-	// promises the changes whose acknowledgement waits for them.
-	followers map[string]follower
-	promises  map[string]promise
 	// leaseBack is closed when the wait for a lease that has run out is over; nil while
 	// nobody waits.
 	leaseBack chan struct{}
@@ -173,7 +169,6 @@
 		ReturnGap: l.cfg.HeartbeatInterval / 2}, since)
 	l.staged, l.arrivals, l.repaired = newStaged(), map[string]arrivals{}, map[string]look{}
 	l.balanced, l.again = time.Time{}, false
-	l.followers, l.promises = map[string]follower{}, map[string]promise{}
 }
 
 // leadership is proof that this process held the leader lease at a moment.
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -42,7 +42,6 @@
 		l.noteOrderly()
 	}
 	if reply, done := l.heldAlready(c); done {
-		l.awaitHosts(ctx, patchPromise(req.Command))
 		return reply
 	}
 	encoded, err := l.proposeOnce(ctx, req.Command)
@@ -54,10 +53,6 @@
 		return wire.ProposalReply{Status: wire.ProposalUnknown, Reason: err.Error()}
 	}
 	reply := wire.ProposalReply{Status: wire.ProposalApplied, Leader: l.cfg.Proposer.Status().LeaderHost, Result: res}
-	if c.PatchItems != nil && res.Code == command.ResultOK {
-		l.promised(patchPromise(req.Command), res.Revision)
-		l.awaitHosts(ctx, patchPromise(req.Command))
-	}
 	if req.WaitInForce && res.Code == command.ResultOK {
 		l.awaitInForce(ctx, res.Revision, time.Duration(req.WaitMs)*time.Millisecond, &reply)
 	}
@@ -206,10 +201,11 @@
 }
 
 // Watch returns what changed since the revision of a host's table, and waits for
-// a change for at most the poll time when there is none.
+// a change for at most the poll time when there is none. A host that confirms the age of
+// its table by itself is answered by any replica, all others by the leader only.
 func (l *Leader) Watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
 	received := l.cfg.Clock.Now()
-	reply := l.watch(ctx, req, received)
+	reply := l.watch(ctx, req)
 	reply.HeldMs = l.cfg.Clock.Now().Sub(received).Milliseconds()
 	return reply
 }
@@ -233,25 +229,28 @@
 	}
 }
 
-func (l *Leader) watch(ctx context.Context, req wire.TableWatch, received time.Time) wire.TableReply {
-	idle := time.Duration(0)
+func (l *Leader) watch(ctx context.Context, req wire.TableWatch) wire.TableReply {
 	timeout := time.NewTimer(l.cfg.Poll)
 	defer timeout.Stop()
-	l.awaitLeader(ctx)
+	if !req.Any {
+		l.awaitLeader(ctx)
+	}
 	for {
 		// A leader that was cut off, or elected just now, may lack what another one has
 		// acknowledged.
-		err := l.establish(ctx)
+		var err error
+		if !req.Any {
+			err = l.establish(ctx)
+		}
 		st := l.cfg.Proposer.Status()
 		if err != nil {
 			return wire.TableReply{Leader: st.LeaderHost, Reason: err.Error()}
 		}
-		l.noteFollower(req.Host, req.Revision)
 		began := l.cfg.Clock.Now()
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
 		if delta != nil || snapshot != nil {
-			reply := wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost, IdleMs: idle.Milliseconds()}
+			reply := wire.TableReply{Revision: revision, Delta: delta, Snapshot: snapshot, Leader: st.LeaderHost}
 			l.addDeltas(&reply)
 			reply.Current = l.cfg.State.Table().Revision()
 			l.cfg.Worked("watch answer", l.cfg.Clock.Now().Sub(began))
@@ -259,9 +258,6 @@
 		}
 		select {
 		case <-changed:
-			if idle == 0 {
-				idle = l.cfg.Clock.Now().Sub(received)
-			}
 			if err := l.gather(ctx); err != nil {
 				return wire.TableReply{Revision: revision, Leader: st.LeaderHost, Reason: err.Error()}
 			}
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -225,6 +225,7 @@
 	h.peers.RegisterOrdered(wire.MethodReplicationStep, peer.Handle(h.handleStep))
 	h.serveCalls(wire.MethodSessionRenew, peer.Handle(h.handleRenew))
 	h.serveCalls(wire.MethodTableWatch, peer.Handle(h.handleWatch))
+	h.serveCalls(wire.MethodTableBarrier, peer.Handle(h.replica.handleBarrier))
 	h.serveCalls(wire.MethodOperate, peer.Handle(h.handleOperate))
 	h.serveCalls(wire.MethodHeartbeat, peer.Handle(h.handleHeartbeat))
 	h.serveCalls(wire.MethodDeregister, peer.Handle(h.handleDeregister))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,10 +67,12 @@
 		RenewInterval: cfg.Timing.RenewInterval,
 		CallTimeout:   cfg.Timing.RenewInterval + cfg.Timing.RenewInterval/2,
 		WatchPoll:     cfg.Timing.WatchPoll,
-		AckChanges:    true,
-		Loads:         func() []wireLoads { return d.dispatcher.Loads() },
-		OnTable:       d.tableChanged,
-		Record:        d.record,
+
+		ConfirmInterval: cfg.Timing.RenewInterval,
+		AckChanges:      true,
+		Loads:           func() []wireLoads { return d.dispatcher.Loads() },
+		OnTable:         d.tableChanged,
+		Record:          d.record,
 	})
 	d.dispatcher = dispatch.New(d.dispatchConfig())
 	d.entry = entry.New(entry.Config{
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -28,7 +28,7 @@
 	coldSlackUsed  = 0.6
 	// drainTimeUsed is the part of the time to drain for which a leaving backend
 	// server is used. The rest is for the way of the news and of the requests.
-	drainTimeUsed    = 0.3
+	drainTimeUsed    = 0.45
 	evacuateTimeUsed = 0.5
 	// tableTimeUsed is the part of the time to apply a change, or to drain if that is
 	// shorter, up to which an entry host acts by a table that nobody has confirmed since.
@@ -43,6 +43,9 @@
 const (
 	// callsPerSession lets several replicas be silent before a session ends.
 	callsPerSession = 4
+	// confirmInterval lets some rounds of confirmations be lost before a table is too old
+	// to act by.
+	confirmInterval = 400 * time.Millisecond
 	// peerDialTimeout is longer than the delay that uploads cause on a link of some
 	// megabits a second.
 	peerDialTimeout = 400 * time.Millisecond
@@ -81,6 +84,7 @@
 
 		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, WatchCaller: h.logClient, Clock: h.clock, Logger: logger,
 		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.SessionTTL / callsPerSession, WatchPoll: cfg.Timing.WatchPoll,
+		ConfirmInterval: confirmInterval, FollowAny: true,
 		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, OnAnswer: counters.watchAnswered, Record: h.record,
 	})
 	asOf := h.session.AsOf
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/agatestep/agatestep/internal/admin"
+	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/control"
 	"github.com/agatestep/agatestep/internal/logstore"
 	"github.com/agatestep/agatestep/internal/replication"
@@ -39,6 +40,7 @@
 	config.ID = store.Identity().ID()
 	config.Storage = measuredStore{store}
 	config.StateMachine = measuredState{state}
+	config.Marks = command.Withdraws
 	r := &replica{store: store, state: state, config: config}
 	if err := r.start(); err != nil {
 		_ = store.Close()
--- a/internal/daemon/rpc.go
+++ b/internal/daemon/rpc.go
@@ -24,6 +24,7 @@
 	d.peers.RegisterOrdered(wire.MethodReplicationStep, peer.Handle(d.handleStep))
 	d.peers.Register(wire.MethodSessionRenew, peer.Handle(d.handleRenew))
 	d.peers.Register(wire.MethodTableWatch, peer.Handle(d.handleWatch))
+	d.peers.Register(wire.MethodTableBarrier, peer.Handle(d.replica.handleBarrier))
 	d.peers.Register(wire.MethodPropose, peer.Handle(d.handlePropose))
 	d.peers.Register(wire.MethodOperate, peer.Handle(d.handlePropose))
 	d.peers.Register(wire.MethodReplace, peer.Handle(d.handleReplace))
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -11,8 +11,6 @@
 	Requests, Retries, Opened, Reused *expvar.Int
 	// Outcomes counts requests by kind and outcome, Refusals by reason.
 	Outcomes, Refusals *expvar.Map
-	// OldTable counts what was decided by a table older than its bound.
-	OldTable *expvar.Map
 	// latencies are the times to the end of an answer, by kind of request and outcome.
 	latencies *latency.Histograms
 }
@@ -27,7 +25,6 @@
 		Reused:    expvar.NewInt("agatestep_gateway_connections_reused"),
 		Outcomes:  expvar.NewMap("agatestep_gateway_outcomes"),
 		Refusals:  expvar.NewMap("agatestep_gateway_refusals"),
-		OldTable:  expvar.NewMap("agatestep_gateway_old_table"),
 		latencies: latency.New(),
 	}
 	expvar.Publish("agatestep_gateway_latency_ms", c.latencies)
--- a/internal/gateway/current.go
+++ b/internal/gateway/current.go
@@ -1,17 +1,32 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/agatestep/agatestep/internal/verdict"
 )
 
-// decision is what a host does by its routing table, in counters and log lines.
-type decision string
+// A change is acknowledged without a look at who has it. What makes the acknowledgement
+// true is that no host acts by a table that may lack the change once its bound is over.
 
 const (
-	decisionNoRoute decision = "no-route"
-	decisionSent    decision = "sent"
+	// currentPause is the time between two looks at the age of the table.
+	currentPause = 20 * time.Millisecond
+	// currentShare is the part of a request's time, and maxCurrentWait the longest time,
+	// for which it waits until the table is confirmed.
+	currentShare   = 0.2
+	maxCurrentWait = 400 * time.Millisecond
+	// untoldTime is how long callers are taken to wait that do not say it.
+	untoldTime = 2 * time.Second
+	// currentRetry is when the caller of a request returns that was refused for the age
+	// of the table: a round of confirmations.
+	currentRetry = 500 * time.Millisecond
+	// unreadyAge is the age of the table, in bounds, from which callers are sent to other
+	// hosts.
+	unreadyAge = 3
 )
 
 // oldTable returns the age of the routing table, and whether it is past its bound.
@@ -20,13 +35,37 @@
 	return age, g.cfg.Limits.TableFor > 0 && age > g.cfg.Limits.TableFor
 }
 
-// noteOldTable counts and logs what is decided by a table that is past its bound.
-func (g *Gateway) noteOldTable(d decision, c *call) {
+// awaitCurrent waits for a moment until the table is confirmed. It returns a refusal if
+// the table must not be used.
+func (g *Gateway) awaitCurrent(ctx context.Context, left time.Duration) *verdict.Error {
 	age, old := g.oldTable()
 	if !old {
-		return
+		return nil
+	}
+	most := min(time.Duration(currentShare*float64(left)), maxCurrentWait)
+	for end := g.cfg.Clock.Now().Add(most); old && ctx.Err() == nil && g.cfg.Clock.Now().Before(end); age, old = g.oldTable() {
+		waitFor(ctx, g.tableChange(), currentPause)
+	}
+	if old {
+		return g.refuseOld(age)
+	}
+	return nil
+}
+
+// refuseOld is the refusal of what must not be decided by a table of this age.
+func (g *Gateway) refuseOld(age time.Duration) *verdict.Error {
+	return verdict.Unavailable(verdict.ReasonOldTable, "the routing table was not confirmed for "+age.Round(time.Millisecond).String())
+}
+
+// mayWrite is the last look before a request is written: the table may have turned old,
+// or the server may be leaving, since it was chosen.
+func (g *Gateway) mayWrite(c *call, t target) *verdict.Error {
+	if age, old := g.oldTable(); old {
+		g.cfg.Logger.Info("not sent by an old table", append(c.fields(), zap.String("backend", t.backend.Name), zap.Duration("table_age", age))...)
+		return g.refuseOld(age)
+	}
+	if g.retargeted(c, t) {
+		return verdict.Unavailable(verdict.ReasonRetargeted, "the backend server is no longer the right one")
 	}
-	g.counters.OldTable.Add(string(d), 1)
-	g.cfg.Logger.Info("decided by an old table", append(c.fields(), zap.String("decision", string(d)), zap.Duration("table_age", age),
-		zap.Uint64("revision", g.cfg.Tables().Revision()))...)
+	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,8 +25,8 @@
 	Tables     func() *table.Table
 	// Complete reports whether the first table came in full; nil means always.
 	Complete func() bool
-	// TableAsOf returns when the table was last known to be the leader's newest; nil
-	// means always.
+	// TableAsOf returns when the table was last known to lack nothing that was
+	// acknowledged; nil means always.
 	TableAsOf func() time.Time
 	Permits   Permits
 	Dialect   Dialect
@@ -152,6 +152,9 @@
 
 // Ready reports whether this host can serve callers.
 func (g *Gateway) Ready() bool {
+	if limit := unreadyAge * g.cfg.Limits.TableFor; limit > 0 && g.tableAge() > limit {
+		return false
+	}
 	return !g.stopping.Load() && !g.cfg.Tables().Items().Empty()
 }
 
@@ -284,7 +287,7 @@
 	return max(s.MaxConnections/max(g.hosts, 1), 1)
 }
 
-// tableAge is how long ago the table was last known to be the leader's newest.
+// tableAge is how long ago the table was last known to be current.
 func (g *Gateway) tableAge() time.Duration {
 	if g.cfg.TableAsOf == nil {
 		return 0
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -36,6 +36,10 @@
 		return
 	}
 	g.awaitConfiguration(r.Context())
+	if refusal := g.awaitCurrent(r.Context(), g.timeGiven(r)); refusal != nil {
+		g.refuse(w, r, nil, refusal, returnAfter(refusal))
+		return
+	}
 	c, refusal := g.read(w, r, g.cfg.Tables(), now)
 	if refusal != nil {
 		g.refuse(w, r, c, refusal, returnAfter(refusal))
@@ -72,10 +76,21 @@
 // returnAfter is when the caller of a request that was refused as it was read should
 // return; zero means that it would be refused again.
 func returnAfter(e *verdict.Error) time.Duration {
-	if e.Reason != verdict.ReasonSession {
-		return 0
+	switch e.Reason {
+	case verdict.ReasonSession:
+		return spread(configurationRetry)
+	case verdict.ReasonOldTable:
+		return spread(currentRetry)
+	}
+	return 0
+}
+
+// timeGiven is how long the caller waits, as far as the request says it.
+func (g *Gateway) timeGiven(r *http.Request) time.Duration {
+	if head, err := g.cfg.Dialect.ReadCall(r.Header); err == nil && head.Left > 0 {
+		return head.Left
 	}
-	return spread(configurationRetry)
+	return untoldTime
 }
 
 // configurationWait is how long a request waits for the first configuration. A host
@@ -201,9 +216,6 @@
 	if c != nil {
 		took = g.cfg.Clock.Now().Sub(c.arrived)
 	}
-	if e.Reason == verdict.ReasonNoRoute {
-		g.noteOldTable(decisionNoRoute, c)
-	}
 	outcome := "refused"
 	if e.Verdict != verdict.NotRun {
 		outcome = "failed"
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -58,6 +58,9 @@
 	defer func() { c.opening.Forsake() }()
 	for {
 		changed := g.tableChange()
+		if refusal := g.awaitCurrent(ctx, c.left(g.cfg.Clock.Now())); refusal != nil {
+			return fallback, failureUnless(fallback, pickFailure(last, refusal)), spread(currentRetry)
+		}
 		target, refusal, delay := g.target(c)
 		switch {
 		case fallback != nil && target.backend == nil:
@@ -274,11 +277,13 @@
 		req.Body = c.body.reader()
 	}
 	req.Left = func(h http.Header) *verdict.Error {
-		g.noteOldTable(decisionSent, c)
 		left := c.left(g.cfg.Clock.Now())
 		if left <= 0 {
 			return verdict.Unavailable(verdict.ReasonDeadline, "the time is over before the request was sent")
 		}
+		if refusal := g.mayWrite(c, t); refusal != nil {
+			return refusal
+		}
 		g.cfg.Dialect.Address(h, t.backend.Name, left)
 		return nil
 	}
@@ -298,6 +303,11 @@
 		}
 		return finish
 	}
+	if e.Reason == verdict.ReasonOldTable || e.Reason == verdict.ReasonRetargeted {
+		c.sends-- // the server was not reached, and says nothing of itself by it
+		delete(c.tried, keyOf(t.backend))
+		return again
+	}
 	s.mu.Lock()
 	s.backlog.Outcome(now, true)
 	s.mu.Unlock()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -43,13 +43,18 @@
 	// CallTimeout bounds one renewal, so that a silent replica does not use up the session.
 	CallTimeout time.Duration
 	WatchPoll   time.Duration
+	// ConfirmInterval is the time between two rounds of questions to all control hosts
+	// about the age of the table; zero asks none, and the age is never known.
+	ConfirmInterval time.Duration
+	// FollowAny lets any control host send tables, not only the leader.
+	FollowAny bool
 	// Loads returns the load to report with a renewal; it may be nil.
 	Loads func() []wire.SliceLoads
 	// AckChanges renews the session as soon as a new revision was applied, so that
 	// operators who wait for it to be in force learn at once.
 	AckChanges bool
 	// OnTable is called after each change of the routing table, with the time until
-	// which the table before is known to have been the newest; it may be nil.
+	// which the table before is known to have been current; it may be nil.
 	OnTable func(t *table.Table, since time.Time)
 	// OnAnswer is called after each answer to a watch with the time that watch and
 	// answer were on their way; it may be nil.
@@ -76,10 +81,13 @@
 	patience time.Duration // of the watch loop only
 	// control are the control hosts that the leader named last.
 	control atomic.Pointer[[]string]
-	// asOf is when the table was last known to be the leader's newest.
-	asOf    atomic.Pointer[time.Time]
-	failure string // last failed watch, of the watch loop only
-	changed chan struct{}
+	// asOf is when the table was last known to lack nothing that was acknowledged.
+	asOf          atomic.Pointer[time.Time]
+	confirmations confirmations
+	group         atomic.Uint64 // names the voters that were told last
+	turns         atomic.Int64  // how often the watch turned to another control host
+	failure       string        // last failed watch, of the watch loop only
+	changed       chan struct{}
 	// whole is the revision that the leader had when it sent this process its first
 	// table; complete is set once the table has it.
 	whole    uint64 // used by the watch only
@@ -105,6 +113,7 @@
 	s.table.Store(table.Empty())
 	s.lease.Store(&lease{})
 	s.asOf.Store(&time.Time{})
+	s.confirmations.voters, s.confirmations.answered = map[uint64][]string{}, map[string]time.Time{}
 	turned := make(chan struct{})
 	s.turned.Store(&turned)
 	return s
@@ -113,8 +122,9 @@
 // Table returns the current routing table. It may be used only until ValidUntil.
 func (s *Session) Table() *table.Table { return s.table.Load() }
 
-// AsOf returns when the table was last known to be the leader's newest. It is the
-// zero time before the first one.
+// AsOf returns a time before which no change was acknowledged that the table lacks, by
+// the answers of a majority of the control replicas. It is the zero time before the first
+// such answers.
 func (s *Session) AsOf() time.Time { return *s.asOf.Load() }
 
 // ValidUntil returns the end of the session on the local clock. It is the zero
@@ -136,11 +146,8 @@
 // Run renews the session and follows the table until ctx ends.
 func (s *Session) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		s.watchLoop(ctx)
-	}()
+	wg.Go(func() { s.watchLoop(ctx) })
+	wg.Go(func() { s.confirmLoop(ctx) })
 	s.renewLoop(ctx)
 	wg.Wait()
 }
@@ -286,9 +293,8 @@
 
 // follow turns the watch to the replica that answered a renewal as the leader.
 func (s *Session) follow(address string) {
-	if s.followed.set(address) {
-		next := make(chan struct{})
-		close(*s.turned.Swap(&next))
+	if s.followed.set(address) && !s.cfg.FollowAny {
+		s.interruptWatch()
 	}
 }
 
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -245,6 +245,7 @@
 	l.table = wire.TableReply{Delta: delta(0, 3), More: [][]byte{delta(3, 4), delta(4, 9)}, Current: 9}
 	is.NoErr(s.Watch(context.Background()))
 	is.Equal(s.Table().Revision(), uint64(9))
+	confirmTable(s, l.clock.Now(), 9)
 	is.Equal(s.AsOf(), l.clock.Now())
 	l.table = wire.TableReply{Delta: delta(9, 10), More: [][]byte{delta(11, 12)}, Current: 12}
 	is.True(s.Watch(context.Background()) != nil)
@@ -301,28 +302,43 @@
 	is.Equal(s.followed.get(), "a3")
 }
 
+// voters are the control replicas of these tests.
+var voters = []string{"r1", "r2", "r3"}
+
+// confirmTable lets a majority confirm a table, by questions that were sent at a time.
+func confirmTable(s *Session, sent time.Time, barrier uint64) {
+	for i, v := range voters[:2] {
+		s.confirmed(s.cfg.Replicas[i].Address, sent, wire.BarrierReply{Replica: v, Barrier: barrier, Group: 7, Voters: voters})
+	}
+}
+
 // Guards against a change that is taken for newer than it is: it may have happened at any
-// time since the table before was known to be the newest.
-func TestChangesCountFromTheLastNewestTable(t *testing.T) {
+// time since the table before was known to be current.
+func TestChangesCountFromTheLastCurrentTable(t *testing.T) {
 	is, s, l := newSession(t)
 	var since time.Time
 	s.cfg.OnTable = func(_ *table.Table, at time.Time) { since = at }
-	take := func(base, revision uint64, idle, held time.Duration) {
+	take := func(base, revision uint64) {
 		encoded, err := table.NewBuilder(base).Delta(revision).Encode()
 		is.NoErr(err)
 		encoded, err = pack.Pack(encoded)
 		is.NoErr(err)
-		l.table = wire.TableReply{Delta: encoded, Current: revision, IdleMs: idle.Milliseconds(), HeldMs: held.Milliseconds()}
+		l.table = wire.TableReply{Delta: encoded, Current: revision, HeldMs: 400}
 		is.NoErr(s.Watch(context.Background()))
 	}
 	began := l.clock.Now()
-	take(0, 1, 0, 0)
+	take(0, 1)
 	is.True(since.IsZero()) // nothing is known of the time before
+	confirmTable(s, began, 1)
 	l.clock.Advance(5 * time.Second)
-	take(1, 2, 0, 0) // the change waited for this late watch
+	take(1, 2) // the change waited for this late watch
+	is.Equal(since, began)
+	is.Equal(s.AsOf(), began) // the watch vouches for nothing
+	asked := l.clock.Now()
+	l.clock.Advance(time.Second)
+	confirmTable(s, asked, 3)
+	is.Equal(s.AsOf(), began) // there is a change that the table lacks
+	take(2, 3)
 	is.Equal(since, began)
-	sent := l.clock.Now()
-	take(2, 3, 300*time.Millisecond, 400*time.Millisecond)
-	is.Equal(since, sent.Add(300*time.Millisecond)) // the leader had none until then
-	is.Equal(s.AsOf(), sent.Add(400*time.Millisecond))
+	is.Equal(s.AsOf(), asked)
 }
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// Watch asks the leader once for changes after the current revision and applies them.
+// Watch asks once for changes after the current revision and applies them.
 func (s *Session) Watch(ctx context.Context) error {
 	turned := *s.turned.Load()
-	address := s.followed.get()
+	address := s.source()
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchPoll+s.patience)
 	defer cancel()
 	go func() {
@@ -47,13 +47,14 @@
 		case <-ctx.Done():
 		}
 	}()
-	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision()}
+	request := wire.TableWatch{Host: s.cfg.Host.Host, Revision: s.Table().Revision(), Any: s.cfg.FollowAny}
 	sent := s.cfg.Clock.Now()
 	var reply wire.TableReply
 	if err := s.cfg.WatchCaller.Call(ctx, address, wire.MethodTableWatch, request, &reply); err != nil {
 		firstLate := errors.Is(ctx.Err(), context.DeadlineExceeded) && s.patience == s.cfg.CallTimeout
 		if !firstLate {
 			s.followed.silent(address, sent)
+			s.leave(address)
 		}
 		if errors.Is(err, context.DeadlineExceeded) {
 			s.patience = min(2*s.patience, maxPatience)
@@ -63,13 +64,24 @@
 	s.patience = s.cfg.CallTimeout
 	if reply.Reason != "" {
 		s.followed.advance(address, reply.Leader)
+		s.leave(address)
 		return s.watchFailed(address, sent, errors.Errorf("%s: %s", address, reply.Reason))
 	}
 	s.failure = ""
-	s.confirm(address)
+	if !s.cfg.FollowAny {
+		s.confirm(address)
+	}
 	return s.apply(answer{TableReply: reply, from: address, sent: sent})
 }
 
+// leave turns from a control host that did not send tables, unless the watch has been
+// turned already.
+func (s *Session) leave(address string) {
+	if s.cfg.FollowAny && s.source() == address {
+		s.turns.Add(1)
+	}
+}
+
 // watchFailed logs a failed watch, and repeated ones once.
 func (s *Session) watchFailed(address string, sent time.Time, err error) error {
 	if said := err.Error(); said != s.failure {
@@ -112,13 +124,6 @@
 		s.cfg.OnAnswer(way)
 	}
 	since := s.AsOf()
-	if idle := reply.sent.Add(time.Duration(reply.IdleMs) * time.Millisecond); reply.IdleMs > 0 && idle.After(since) {
-		since = idle
-	}
-	if next.Revision() >= reply.Current {
-		asOf := reply.sent.Add(reply.held())
-		s.asOf.Store(&asOf)
-	}
 	if next.Revision() <= current.Revision() {
 		return nil
 	}
@@ -126,6 +131,7 @@
 		zap.Uint64("leader_revision", reply.Current), zap.String("replica", reply.from), zap.Bool("whole", len(reply.Snapshot) > 0),
 		zap.Int("bytes", reply.size()), zap.Duration("held", reply.held()), zap.Duration("way", way))
 	s.table.Store(next)
+	s.reviewAge()
 	s.noteComplete(next.Revision(), reply.Current)
 	if s.cfg.OnTable != nil {
 		s.cfg.OnTable(next, since)
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -13,6 +13,8 @@
 	ReasonHeaderTooLarge Reason = "header-too-large"       // the header exceeds its cap
 	ReasonNoBackend      Reason = "no-backend"             // no backend server can serve the request now
 	ReasonMoved          Reason = "moved"                  // the sender's routing table is not current
+	ReasonOldTable       Reason = "old-table"              // nobody confirmed the routing table in time
+	ReasonRetargeted     Reason = "retargeted"             // the target changed before the sending
 	ReasonNotConfirmed   Reason = "not-confirmed"          // the owner has not confirmed its order
 	ReasonOverloaded     Reason = "overloaded"             // a queue is full or a cap is reached
 	ReasonDeadline       Reason = "deadline"               // the deadline passed or cannot be met
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -17,6 +17,7 @@
 	MethodPermitAsk       = "permit.ask"         // PermitAsk -> PermitReply
 	MethodPermitDone      = "permit.done"        // notification, PermitDone
 	MethodReadItems       = "items.read"         // ReadItems -> ReadItemsReply
+	MethodTableBarrier    = "table.barrier"      // BarrierAsk -> BarrierReply
 	MethodReplicaHello    = "replica.hello"      // ReplicaHello -> ReplicaHelloReply
 )
 
@@ -97,6 +98,9 @@
 type TableWatch struct {
 	Host     string `json:"host"`
 	Revision uint64 `json:"revision"`
+	// Any is set by a host that takes tables from any replica, because it confirms their
+	// age by itself.
+	Any bool `json:"any,omitempty"`
 }
 
 // TableReply carries a delta or a snapshot, both in the encoding of package table.
@@ -110,12 +114,25 @@
 	More   [][]byte `json:"more,omitempty"`
 	Leader string   `json:"leader,omitempty"`
 	Reason string   `json:"reason,omitempty"`
-	// IdleMs is how long the replica had no change for the host.
-	IdleMs int64 `json:"idle_ms,omitempty"`
 	// HeldMs is how long the replica held the watch before it answered.
 	HeldMs int64 `json:"held_ms,omitempty"`
 }
 
+// BarrierAsk asks a control replica which revision a table must have reached.
+type BarrierAsk struct {
+	// Group names the voters that the asking host knows.
+	Group uint64 `json:"group,omitempty"`
+}
+
+// BarrierReply holds what replication.Barrier says.
+type BarrierReply struct {
+	Replica string `json:"replica"`
+	Barrier uint64 `json:"barrier"`
+	// Group is a hash of the voters. Voters is left out if the asking host knows them.
+	Group  uint64   `json:"group"`
+	Voters []string `json:"voters,omitempty"`
+}
+
 // Proposal carries an encoded command.Command to the leader.
 type Proposal struct {
 	Command []byte `json:"command"`
