Do not ask anew for a large change that is on its way

A host now turns only from a control host that does not know the change itself. TestTablesAreAskedForElsewhere, 'a large change is on its way', fails without it.

--- a/internal/session/confirm.go
+++ b/internal/session/confirm.go
@@ -17,8 +17,8 @@
 	// silentRounds is the number of rounds of questions that the control host which sends
 	// the tables may leave unanswered while others answer.
 	silentRounds = 3
-	// behindPatience is how long the table may lack a change that some control host knows
-	// before another control host is asked for it.
+	// behindPatience is how long the table may lack a change that the control host which
+	// sends the tables does not know, while another one does.
 	behindPatience = time.Second
 )
 
@@ -28,6 +28,7 @@
 	answers  confirm.Confirmations
 	voters   map[uint64][]string  // by the hash that names them
 	answered map[string]time.Time // when the last question was sent that an address answered
+	barriers map[string]uint64    // in these answers
 	turnedAt time.Time
 }
 
@@ -88,7 +89,7 @@
 		c.answers.Add(confirm.Answer{Asked: sent, Replica: reply.Replica, Voters: voters, Barrier: reply.Barrier})
 	}
 	if sent.After(c.answered[address]) {
-		c.answered[address] = sent
+		c.answered[address], c.barriers[address] = sent, reply.Barrier
 	}
 	c.mu.Unlock()
 	s.reviewAge()
@@ -116,7 +117,7 @@
 }
 
 // reviewSource turns to another control host when the present one is silent while others
-// answer, or does not send what others know.
+// answer, or does not know what others know.
 func (s *Session) reviewSource() {
 	if !s.cfg.FollowAny {
 		return
@@ -130,14 +131,16 @@
 		return
 	}
 	silent := now.Sub(c.answered[source]) > silentRounds*s.cfg.ConfirmInterval && now.Sub(*s.asOf.Load()) < silentRounds*s.cfg.ConfirmInterval
-	since, behind := c.answers.Behind(s.Table().Revision())
-	behind = behind && now.Sub(since) > behindPatience
+	revision := s.Table().Revision()
+	since, behind := c.answers.Behind(revision)
+	// One that knows the change is sending it: asking elsewhere would begin anew.
+	behind = behind && now.Sub(since) > behindPatience && c.barriers[source] <= revision
 	if !silent && !behind {
 		return
 	}
 	c.turnedAt = now
 	s.cfg.Logger.Info("tables are asked for elsewhere", zap.String("control_host", source), zap.Bool("silent", silent), zap.Bool("behind", behind),
-		zap.Uint64("revision", s.Table().Revision()), zap.Duration("table_age", now.Sub(*s.asOf.Load())))
+		zap.Uint64("revision", revision), zap.Duration("table_age", now.Sub(*s.asOf.Load())))
 	s.turn()
 }
 
--- a/internal/session/promise_test.go
+++ b/internal/session/promise_test.go
@@ -155,15 +155,17 @@
 }
 
 // Guards against an entry host that has no news because it follows one control host that
-// is silent or cut off from the others.
+// is silent or cut off from the others, and against one that asks for a large change on a
+// crowded link again and again.
 func TestTablesAreAskedForElsewhere(t *testing.T) {
 	for name, c := range map[string]struct {
-		silent, cutOff bool
-		turned         int64
+		silent, cutOff, onWay bool
+		turned                int64
 	}{
-		"all answer":     {false, false, 0},
-		"one is silent":  {true, false, 1},
-		"one is cut off": {false, true, 1},
+		"all answer":                   {false, false, false, 0},
+		"one is silent":                {true, false, false, 1},
+		"one is cut off":               {false, true, false, 1},
+		"a large change is on its way": {false, false, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, s, l := newSession(t)
@@ -178,8 +180,8 @@
 					switch {
 					case address == source && c.silent:
 						continue
-					case address != source && c.cutOff:
-						barrier = 4 // the source does not know of it
+					case address != source && c.cutOff, c.onWay:
+						barrier = 4
 					}
 					s.confirmed(address, l.clock.Now(), wire.BarrierReply{Replica: voters[i], Barrier: barrier, Group: 7, Voters: voters})
 				}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -114,6 +114,7 @@
 	s.lease.Store(&lease{})
 	s.asOf.Store(&time.Time{})
 	s.confirmations.voters, s.confirmations.answered = map[uint64][]string{}, map[string]time.Time{}
+	s.confirmations.barriers = map[string]uint64{}
 	turned := make(chan struct{})
 	s.turned.Store(&turned)
 	return s
