--- a/internal/gateway/current.go
+++ b/internal/gateway/current.go
@@ -54,6 +54,9 @@
 
 // refuseOld is the refusal of what must not be decided by a table of this age.
 func (g *Gateway) refuseOld(age time.Duration) *verdict.Error {
+	if g.cfg.TableAsOf().IsZero() {
+		return verdict.Unavailable(verdict.ReasonOldTable, "the routing table was not confirmed yet")
+	}
 	return verdict.Unavailable(verdict.ReasonOldTable, "the routing table was not confirmed for "+age.Round(time.Millisecond).String())
 }
 
