Wake requests that wait for the confirmation of the table

They looked every 20 ms; after a restart of all hosts hundreds of requests wait on a host with 0.16 of a core. The session says when the table is confirmed as of a later time, and the gateway wakes them. TestRequestWaitsForTheConfirmationOfTheTable covers it. Figures: none, the load of the looks was not measured.

--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -85,7 +85,7 @@
 		Instance: h.instance, Replicas: seedReplicas(cfg), Caller: h.client, WatchCaller: h.logClient, Clock: h.clock, Logger: logger,
 		RenewInterval: cfg.Timing.RenewInterval, CallTimeout: cfg.Timing.SessionTTL / callsPerSession, WatchPoll: cfg.Timing.WatchPoll,
 		ConfirmInterval: confirmInterval, FollowAny: true,
-		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, OnAnswer: counters.watchAnswered, Record: h.record,
+		Loads: func() []wire.SliceLoads { return h.gateway.Loads() }, OnTable: h.tableChanged, OnConfirmed: h.tableConfirmed, OnAnswer: counters.watchAnswered, Record: h.record,
 	})
 	asOf := h.session.AsOf
 	counters.tableAsOf.Store(&asOf)
@@ -121,6 +121,8 @@
 	counters.revision.Set(int64(t.Revision()))
 }
 
+func (h *EntryHost) tableConfirmed() { h.gateway.TableConfirmed() }
+
 // Run serves until ctx ends, then stops gracefully.
 func (h *EntryHost) Run(ctx, hard context.Context) error {
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/gateway/current.go
+++ b/internal/gateway/current.go
@@ -13,8 +13,6 @@
 // true is that no host acts by a table that may lack the change once its bound is over.
 
 const (
-	// currentPause is the time between two looks at the age of the table.
-	currentPause = 20 * time.Millisecond
 	// currentShare is the part of a request's time, and maxCurrentWait the longest time,
 	// for which it waits until the table is confirmed.
 	currentShare   = 0.2
@@ -38,18 +36,37 @@
 // awaitCurrent waits for a moment until the table is confirmed. It returns a refusal if
 // the table must not be used.
 func (g *Gateway) awaitCurrent(ctx context.Context, left time.Duration) *verdict.Error {
-	age, old := g.oldTable()
-	if !old {
+	if _, old := g.oldTable(); !old {
 		return nil
 	}
 	most := min(time.Duration(currentShare*float64(left)), maxCurrentWait)
-	for end := g.cfg.Clock.Now().Add(most); old && ctx.Err() == nil && g.cfg.Clock.Now().Before(end); age, old = g.oldTable() {
-		waitFor(ctx, g.tableChange(), currentPause)
+	for end := g.cfg.Clock.Now().Add(most); ; {
+		confirmed := g.confirmation()
+		age, old := g.oldTable()
+		if !old {
+			return nil
+		}
+		wait := end.Sub(g.cfg.Clock.Now())
+		if wait <= 0 || ctx.Err() != nil {
+			return g.refuseOld(age)
+		}
+		waitFor(ctx, confirmed, wait)
 	}
-	if old {
-		return g.refuseOld(age)
-	}
-	return nil
+}
+
+// TableConfirmed wakes the requests that wait until the table is confirmed.
+func (g *Gateway) TableConfirmed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.confirmed)
+	g.confirmed = make(chan struct{})
+}
+
+// confirmation returns a channel that the next confirmation of the table closes.
+func (g *Gateway) confirmation() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.confirmed
 }
 
 // refuseOld is the refusal of what must not be decided by a table of this age.
--- a/internal/gateway/current_test.go
+++ b/internal/gateway/current_test.go
@@ -73,7 +73,10 @@
 	w.backend("desk", "b1", hello)
 	w.own("b1", 9)
 	w.stopConfirming()
-	time.AfterFunc(50*time.Millisecond, func() { w.confirm(time.Now()) })
+	time.AfterFunc(50*time.Millisecond, func() {
+		w.confirm(time.Now())
+		w.gateway.TableConfirmed()
+	})
 	status, body, _ := w.ask("POST", "/book/x", strings.NewReader("order"))
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, "hello")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,8 @@
 	// reach tells which hosts answer asks for permits.
 	reach   *permit.Reach
 	changed chan struct{} // closed by the next table
+	// confirmed is closed by the next confirmation of the table.
+	confirmed chan struct{}
 
 	loads *loads
 	// hosts is the largest number of entry hosts that this process has seen.
@@ -136,7 +138,7 @@
 		cfg: cfg, split: newSplitter(), counters: counters,
 		servers: map[serverKey]*server{}, budgets: map[string]*balance.Budget{},
 		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{}, reach: permit.NewReach(),
-		changed: make(chan struct{}), loads: newLoads(),
+		changed: make(chan struct{}), confirmed: make(chan struct{}), loads: newLoads(),
 	}
 	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, MaxDialTimeout: maxDialTimeout, UserTimeout: userTimeout, MaxUserTimeout: maxUserTimeout,
 		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
--- a/internal/session/confirm.go
+++ b/internal/session/confirm.go
@@ -99,9 +99,13 @@
 func (s *Session) reviewAge() {
 	c := &s.confirmations
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	asOf := c.answers.AsOf(s.Table().Revision())
+	later := asOf.After(*s.asOf.Load())
 	s.asOf.Store(&asOf)
+	c.mu.Unlock()
+	if later && s.cfg.OnConfirmed != nil {
+		s.cfg.OnConfirmed()
+	}
 }
 
 // source returns the control host from which to ask for tables. Any replica can send
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -56,6 +56,8 @@
 	// OnTable is called after each change of the routing table, with the time until
 	// which the table before is known to have been current; it may be nil.
 	OnTable func(t *table.Table, since time.Time)
+	// OnConfirmed is called when the table was confirmed as of a later time; it may be nil.
+	OnConfirmed func()
 	// OnAnswer is called after each answer to a watch with the time that watch and
 	// answer were on their way; it may be nil.
 	OnAnswer func(way time.Duration)
