Test that any replica sends tables to hosts that confirm them, and no other

TestAnyReplicaSendsTablesToHostsThatConfirmThem; the condition in the watch is written without a variable that may stay unset. No behaviour changes.

--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -93,3 +93,19 @@
 	is.Equal(at, g.state.Table().Revision())
 	is.Equal(reply.Revision, at)
 }
+
+// Guards against hosts that get no tables while the leader is short of processor time or
+// there is none, although they confirm the age of their tables by themselves, and against
+// a table from a replica that may be behind for hosts that do not.
+func TestAnyReplicaSendsTablesToHostsThatConfirmThem(t *testing.T) {
+	is, g := is.New(t), newGroup()
+	g.populate(t, 4, 2)
+	g.set(func(s *LeaderStatus) { *s = LeaderStatus{LeaderHost: "h2", Term: 1} })
+	reply := g.Watch(ctx, wire.TableWatch{Host: "h9", Any: true})
+	is.Equal(reply.Reason, "")
+	is.Equal(reply.Revision, g.state.Table().Revision())
+	is.True(len(reply.Delta)+len(reply.Snapshot) > 0)
+	reply = g.Watch(ctx, wire.TableWatch{Host: "h9"})
+	is.Equal(reply.Reason, "not the leader")
+	is.True(len(reply.Delta)+len(reply.Snapshot) == 0)
+}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -236,16 +236,14 @@
 		l.awaitLeader(ctx)
 	}
 	for {
-		// A leader that was cut off, or elected just now, may lack what another one has
-		// acknowledged.
-		var err error
 		if !req.Any {
-			err = l.establish(ctx)
+			// A leader that was cut off, or elected just now, may lack what another one has
+			// acknowledged.
+			if err := l.establish(ctx); err != nil {
+				return wire.TableReply{Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
+			}
 		}
 		st := l.cfg.Proposer.Status()
-		if err != nil {
-			return wire.TableReply{Leader: st.LeaderHost, Reason: err.Error()}
-		}
 		began := l.cfg.Clock.Now()
 		changed := l.cfg.State.Changed()
 		delta, snapshot, revision := l.cfg.State.Changes(req.Revision)
