Tests of old tables do not depend on the time of the machine

Two of them counted real time from the confirmation of the table, 300 ms, and could fail on a busy machine although the code is right (not seen; found by reading). The table is now either confirmed at this moment or twice as old as its bound, and the waiting request is woken at a look, not after a time. Checks and bounds are unchanged.

--- a/internal/gateway/current_test.go
+++ b/internal/gateway/current_test.go
@@ -21,22 +21,31 @@
 // aged is a world whose gateway is told how old its table is.
 type aged struct {
 	*world
-	asOf atomic.Pointer[time.Time]
+	old atomic.Bool
+	// looked is called at each look at the age of the table, if set.
+	looked func()
 }
 
 func newAged(t *testing.T) *aged {
 	w := &aged{world: newWorld(t)}
-	w.confirm(time.Now())
-	w.gateway.cfg.TableAsOf = func() time.Time { return *w.asOf.Load() }
+	w.gateway.cfg.TableAsOf = func() time.Time {
+		if w.looked != nil {
+			w.looked()
+		}
+		if w.old.Load() {
+			return time.Now().Add(-2 * tableBound)
+		}
+		return time.Now()
+	}
 	w.gateway.cfg.Limits.TableFor = tableBound
 	w.configure()
 	return w
 }
 
-func (w *aged) confirm(asOf time.Time) { w.asOf.Store(&asOf) }
+func (w *aged) confirm() { w.old.Store(false) }
 
 // stopConfirming lets the table be older than its bound from now on.
-func (w *aged) stopConfirming() { w.confirm(time.Now().Add(-2 * tableBound)) }
+func (w *aged) stopConfirming() { w.old.Store(true) }
 
 // A host gets no news for any reason: a crowded link, a control host that is short of
 // processor time, a partition. Guards against one that denies a route that was added, sends
@@ -60,7 +69,7 @@
 			is.Equal(header.Get(verdict.Header), "not-run")
 			is.True(header.Get("Retry-After") != "")
 			is.Equal(w.arrivals(), 0)
-			w.confirm(time.Now())
+			w.confirm()
 			status, _, _ = w.ask("POST", path, strings.NewReader("order"))
 			is.True(status == http.StatusOK || path == "/unknown/x" && status == http.StatusNotFound)
 		})
@@ -73,10 +82,13 @@
 	w.backend("desk", "b1", hello)
 	w.own("b1", 9)
 	w.stopConfirming()
-	time.AfterFunc(50*time.Millisecond, func() {
-		w.confirm(time.Now())
-		w.gateway.TableConfirmed()
-	})
+	var looks atomic.Int64
+	w.looked = func() {
+		if looks.Add(1) == 3 { // the request waits
+			w.confirm()
+			w.gateway.TableConfirmed()
+		}
+	}
 	status, body, _ := w.ask("POST", "/book/x", strings.NewReader("order"))
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, "hello")
