Show what waits on a host's own link

Requests of callers that had left reached their servers 0.6 s later, with the end of the connection right behind them. The logs could not tell whether they were handed to the kernel late (H1) or waited on the host's link (H2). Bytes are counted by kind against the bandwidth of the settings; a crowded second is logged, and a failed attempt says how long before it the request was handed over. No decision changes.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/agatestep/agatestep/internal/egress"
 )
 
 // callerListener applies the timeouts of the configuration in force to callers'
@@ -12,6 +14,7 @@
 type callerListener struct {
 	net.Listener
 	timeouts func() (header, idle time.Duration)
+	link     *egress.Link
 }
 
 // Accept implements net.Listener.
@@ -20,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, timeouts: l.timeouts}, nil
+	return &callerConn{Conn: l.link.Conn(c, egress.Answers), timeouts: l.timeouts}, nil
 }
 
 // callerConn replaces the read deadlines that an http.Server sets.
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -92,7 +92,7 @@
 	d := cfg.Deployment
 	h.gateway = gateway.New(gateway.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, Tables: h.session.Table, Complete: h.session.Complete, TableAsOf: h.session.AsOf, Permits: h,
-		Dialect: adapter, Clock: h.clock, Logger: logger,
+		Dialect: adapter, Clock: h.clock, Logger: logger, Link: h.link,
 		Limits: gateway.Limits{RetryRatio: retryRatioUsed * d.RetryRatio, RetryBurst: retrySlackUsed * d.RetrySlack,
 			LeaveFor:           time.Duration(drainTimeUsed * float64(d.DrainTime)),
 			EvacuateFor:        time.Duration(evacuateTimeUsed * float64(d.EvacuateTime)),
@@ -137,7 +137,7 @@
 	h.peers.Register(wire.MethodPermitAsk, peer.Handle(h.handlePermitAsk))
 	h.peers.Register(wire.MethodPermitDone, peer.Handle(h.handlePermitDone))
 	go func() { _ = h.peers.Serve(h.listeners[listenPeer], h.serverTLS) }() // ends with its listener
-	traffic := h.serveOn(listenTraffic, callerListener{Listener: h.limited(listenTraffic), timeouts: h.gateway.CallerTimeouts}, h.gateway)
+	traffic := h.serveOn(listenTraffic, callerListener{Listener: h.limited(listenTraffic), timeouts: h.gateway.CallerTimeouts, link: h.link}, h.gateway)
 	h.serveHTTP(listenReadiness, h.adapter.ReadinessHandler(h.ready), nil)
 	h.serveHTTP(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
 	h.background.Go(func() { h.session.Run(loops) })
@@ -161,6 +161,7 @@
 		case <-ticker.C:
 			h.gateway.Clean()
 			h.permits.clean()
+			h.reportLink()
 		}
 	}
 }
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/egress"
 	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/settings"
@@ -33,6 +34,7 @@
 	client    *peer.Client // calls
 	logClient *peer.Client // messages of the replicated log, and table watches
 	peers     *peer.Server
+	link      *egress.Link // of this host; nil if its bandwidth is not known
 
 	listeners map[string]net.Listener
 	servers   []*http.Server
@@ -51,6 +53,8 @@
 	p.client = peer.NewClient(hlc, p.clientTLS)
 	p.logClient = peer.NewClient(hlc, p.clientTLS)
 	p.peers = peer.NewServer(hlc)
+	p.link = egress.New(bytesPerMbit * cfg.Limits.LinkMbps)
+	p.client.Link, p.logClient.Link, p.peers.Link = p.link, p.link, p.link
 	return p, nil
 }
 
--- /dev/null
+++ b/internal/egress/link_test.go
@@ -0,0 +1,38 @@
+package egress
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a queue on the own link that no metric shows.
+func TestQueueGrowsWithWhatTheLinkCannotCarry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := New(1e6)
+		is.Equal(l.Queue(), time.Duration(0))
+		l.Sent(Answers, 90_000)
+		l.Sent(Heads, 90_000)
+		is.Equal(l.Queue().Round(time.Millisecond), 200*time.Millisecond) // 0.9 of the bandwidth are usable
+		time.Sleep(150 * time.Millisecond)
+		is.Equal(l.Queue().Round(time.Millisecond), 50*time.Millisecond)
+		usage := l.Take()
+		is.Equal(usage.Peak.Round(time.Millisecond), 200*time.Millisecond)
+		is.Equal(usage.Bytes["answers"], int64(90_000))
+		time.Sleep(time.Second)
+		is.Equal(l.Queue(), time.Duration(0))
+		is.Equal(l.Take().Peak, time.Duration(0))
+	})
+}
+
+// Guards against a crash where no bandwidth is given.
+func TestLinkOfUnknownBandwidth(t *testing.T) {
+	is := is.New(t)
+	l := New(0)
+	l.Sent(Answers, 1)
+	is.Equal(l.Queue(), time.Duration(0))
+	is.Equal(len(l.Take().Bytes), 0)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,6 +27,8 @@
 	// sends counts the times that the request was written to a backend server, and
 	// ran those of them that may have run.
 	sends, ran int
+	// written is when the request was last handed to a connection.
+	written time.Time
 	// admitted and served are the times that the call waited to be let in and that its
 	// attempts took.
 	admitted, served time.Duration
@@ -38,6 +40,14 @@
 	opening *upstream.Opening
 }
 
+// writtenAgo is how long ago the request was last handed to a connection, or 0.
+func (c *call) writtenAgo(now time.Time) time.Duration {
+	if c.written.IsZero() {
+		return 0
+	}
+	return now.Sub(c.written)
+}
+
 func (c *call) left(now time.Time) time.Duration { return c.until.Sub(now) }
 
 // maxKept is the size up to which bodies are kept to be sent again. Most uploads
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/agatestep/agatestep/internal/balance"
 	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/egress"
 	"github.com/agatestep/agatestep/internal/permit"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
@@ -32,6 +33,7 @@
 	Dialect   Dialect
 	Clock     clock.Clock
 	Logger    *zap.Logger
+	Link      *egress.Link // of this host; nil if its bandwidth is not known
 	Limits    Limits
 }
 
@@ -141,7 +143,7 @@
 		changed: make(chan struct{}), confirmed: make(chan struct{}), loads: newLoads(),
 	}
 	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, MaxDialTimeout: maxDialTimeout, UserTimeout: userTimeout, MaxUserTimeout: maxUserTimeout,
-		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
+		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, Link: cfg.Link, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
 	return g
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -285,6 +285,7 @@
 			return refusal
 		}
 		g.cfg.Dialect.Address(h, t.backend.Name, left)
+		c.written = g.cfg.Clock.Now()
 		return nil
 	}
 	c.tried[keyOf(t.backend)] = true
@@ -296,7 +297,8 @@
 func (g *Gateway) failed(c *call, t target, s *server, e *verdict.Error) next {
 	now := g.cfg.Clock.Now()
 	g.cfg.Logger.Info("attempt failed", append(c.fields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
-		zap.String("verdict", e.Verdict.String()), zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail), logging.Cause("cause", e.Cause))...)
+		zap.String("verdict", e.Verdict.String()), zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail), zap.Duration("written_ago", c.writtenAgo(now)), zap.Duration("link_queue", g.cfg.Link.Queue()),
+		logging.Cause("cause", e.Cause))...)
 	if e.Reason == verdict.ReasonCancelled || e.Reason == verdict.ReasonDeadline {
 		if e.Verdict != verdict.NotRun {
 			c.ran++
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/agatestep/agatestep/internal/egress"
 	"github.com/agatestep/agatestep/internal/timeline"
 )
 
@@ -46,6 +47,8 @@
 	// connection is silent. It is set before the first use; a host whose own link may be
 	// crowded for longer than its calls wait needs it.
 	Patience time.Duration
+	// Link accounts for what is sent. It is set before the first use.
+	Link *egress.Link
 	// open is net.Dialer except in tests.
 	open func(ctx context.Context, address string) (net.Conn, error)
 
@@ -239,6 +242,7 @@
 		_ = raw.Close()
 		return nil, errors.Trace(err)
 	}
+	raw = c.Link.Conn(raw, egress.Calls)
 	if c.config != nil {
 		raw, err = c.secure(ctx, raw, address)
 		if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/agatestep/agatestep/internal/egress"
 	"github.com/agatestep/agatestep/internal/timeline"
 )
 
@@ -36,6 +37,8 @@
 	handlers map[string]Handler
 	// ordered methods run in the connection's read loop, one after the other.
 	ordered map[string]bool
+	// Link accounts for what is sent. It is set before Serve.
+	Link *egress.Link
 	// acceptTimeout is the constant of this name except in tests.
 	acceptTimeout time.Duration
 
@@ -75,6 +78,7 @@
 			return errors.Trace(err)
 		}
 		_ = setUserTimeout(conn) // without it a dead connection is only noticed later
+		conn = s.Link.Conn(conn, egress.Calls)
 		if config == nil {
 			s.start(conn)
 			continue
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/agatestep/agatestep/internal/clock"
+	"github.com/agatestep/agatestep/internal/egress"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
@@ -35,6 +36,8 @@
 	// MaxIdle is how long an idle connection is kept.
 	MaxIdle time.Duration
 	Clock   clock.Clock
+	// Link accounts for what is sent; it may be nil.
+	Link *egress.Link
 	// BodyRate bounds the bytes of request bodies that are sent in a second, so that
 	// large ones leave room for small messages on a slow link. Nil means no bound.
 	BodyRate *rate.Limiter
@@ -205,6 +208,7 @@
 		return false, err
 	}
 	fmt.Fprint(bw, "\r\n")
+	x.client.cfg.Link.Sent(egress.Heads, bw.Buffered())
 	if err := bw.Flush(); err != nil {
 		// The head is larger than the buffer or the kernel refused the first write;
 		// a backend server runs nothing before it has read the whole head.
@@ -261,6 +265,8 @@
 	if err == io.EOF || s.read == s.x.req.Length {
 		s.x.bodyRead.Store(true)
 	}
+	x := s.x
+	x.client.cfg.Link.Sent(egress.Bodies, n)
 	if limit != nil && n > 0 {
 		if waited := limit.WaitN(s.x.ctx, n); waited != nil {
 			return 0, waited // the request is over
