--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -62,13 +62,13 @@
 
 // Ask implements Permits.
 func (w *world) Ask(ctx context.Context, d Desk, _ wire.PermitAsk) (wire.PermitReply, error) {
+	if w.asked != nil {
+		w.asked()
+	}
 	if d.Host == w.mute {
 		<-ctx.Done()
 		return wire.PermitReply{}, ctx.Err()
 	}
-	if w.asked != nil {
-		w.asked()
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asks++
