Read the bodies of requests as they arrive

Cause: net/http looks for the end of a connection once the body of its request was read to the end, and bodies were read only when an attempt sent them. While an order or upload waited for its permit, for a server or for the confirmation of the table, nobody listened to its caller.

Ruled out: the host's own link as the place where these requests waited (1 ms of queue with the request shown, at most 0.39 s on any host); requests without a body, whose callers' ends are noticed.

Change: a body is read as it arrives, up to what is kept for another attempt (256 KB), then as fast as the attempt sends it. With Expect: 100-continue it is still read when an attempt asks for it. The reader of a limited body no longer changes the header of the answer from another goroutine.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -3,26 +3,87 @@
 import (
 	"io"
 	"sync"
-	"sync/atomic"
 )
 
-// replayBody is the body of a caller's request, which is sent while it arrives and
-// may be sent again as long as all of it was kept. Readers of abandoned attempts
-// may still be reading.
+// fillBytes is how much of a body is read at once.
+const fillBytes = 8 << 10
+
+var fillBuffers = sync.Pool{New: func() any { b := make([]byte, fillBytes); return &b }}
+
+// replayBody is the body of a caller's request. It is read as it arrives, whether the request
+// can be sent yet or not: the end of the caller's connection stands behind the body, and
+// net/http hears it only once the body was read. What was read may be sent again as long
+// as all of it was kept. Readers of abandoned attempts may still be reading.
 type replayBody struct {
-	mu     sync.Mutex
 	source io.Reader
-	kept   []byte
-	limit  int
-	err    error
-	// dropped is set once the start of the body is kept no more.
-	dropped atomic.Bool
-	offset  int64 // bytes read from source
+	begin  sync.Once
+	limit  int // bytes that are kept at most
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	// kept are the bytes from offset start to offset end.
+	kept       []byte
+	start, end int64
+	// sent is the offset up to which an attempt has read.
+	sent   int64
+	err    error // that ended the source, or io.EOF
+	closed bool
 }
 
 // newReplayBody keeps up to limit bytes.
 func newReplayBody(source io.Reader, limit int) *replayBody {
-	return &replayBody{source: source, limit: limit}
+	b := &replayBody{source: source, limit: limit}
+	b.changed = sync.NewCond(&b.mu)
+	return b
+}
+
+// fill begins to read the source. It reads on until the source ends, close is called, or
+// limit bytes wait for the attempts.
+func (b *replayBody) fill() {
+	b.begin.Do(func() {
+		go func() {
+			part := fillBuffers.Get().(*[]byte)
+			defer fillBuffers.Put(part)
+			for {
+				n, err := b.source.Read(*part)
+				if !b.add((*part)[:n], err) {
+					return
+				}
+			}
+		}()
+	})
+}
+
+// add takes what was read from the source and reports whether to read on.
+func (b *replayBody) add(p []byte, err error) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	full := func() bool { return len(b.kept)+len(p) > b.limit }
+	for full() && b.sent < b.end && !b.closed {
+		b.changed.Wait()
+	}
+	if b.closed {
+		return false
+	}
+	if full() {
+		b.start, b.kept = b.end, b.kept[:0]
+	}
+	b.kept = append(b.kept, p...)
+	b.end += int64(len(p))
+	b.err = err
+	b.changed.Broadcast()
+	return err == nil
+}
+
+// close ends all reading; the request is over. It may be called on nil.
+func (b *replayBody) close() {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.changed.Broadcast()
 }
 
 // replayable reports whether the body can be sent from its start.
@@ -30,11 +91,16 @@
 	if b == nil {
 		return true
 	}
-	return !b.dropped.Load()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.start == 0
 }
 
 // reader returns the body from its start for one attempt.
-func (b *replayBody) reader() io.Reader { return &attemptBody{body: b} }
+func (b *replayBody) reader() io.Reader {
+	b.fill()
+	return &attemptBody{body: b}
+}
 
 // attemptBody reads the body for one attempt.
 type attemptBody struct {
@@ -42,34 +108,26 @@
 	at   int64
 }
 
-// Read implements io.Reader. It holds the lock while it waits for the caller, so
-// that bytes reach the body once whichever attempt reads them.
+// Read implements io.Reader.
 func (a *attemptBody) Read(p []byte) (int, error) {
 	b := a.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.at < b.offset {
-		if b.dropped.Load() {
+	for {
+		switch {
+		case a.at < b.start:
 			return 0, io.ErrUnexpectedEOF // a newer attempt read what this one lacks
+		case a.at < b.end:
+			n := copy(p, b.kept[a.at-b.start:])
+			a.at += int64(n)
+			b.sent = max(b.sent, a.at)
+			b.changed.Broadcast()
+			return n, nil
+		case b.err != nil:
+			return 0, b.err
+		case b.closed:
+			return 0, io.ErrUnexpectedEOF
 		}
-		n := copy(p, b.kept[a.at:])
-		a.at += int64(n)
-		return n, nil
-	}
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.source.Read(p)
-	b.err = err
-	b.offset += int64(n)
-	a.at += int64(n)
-	if !b.dropped.Load() {
-		if len(b.kept)+n > b.limit {
-			b.dropped.Store(true)
-			b.kept = nil
-		} else {
-			b.kept = append(b.kept, p[:n]...)
-		}
+		b.changed.Wait()
 	}
-	return n, err
 }
--- /dev/null
+++ b/internal/gateway/body_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Guards against bytes that are lost, doubled or kept without bound when a body is larger
+// than what is kept, and against attempts that begin in the middle of it.
+func TestBodiesPassThroughWhatIsKept(t *testing.T) {
+	for _, size := range []int{0, 1, 99, 100, 101, 250, 1000} {
+		for _, chunk := range []int{1, 7, 100, 300} {
+			is := is.New(t)
+			content := bytes.Repeat([]byte("0123456789"), 100)[:size]
+			b := newReplayBody(iotest.OneByteReader(bytes.NewReader(content)), 100)
+			first, err := io.ReadAll(&chunked{b.reader(), chunk})
+			is.NoErr(err)
+			is.True(bytes.Equal(first, content))
+			is.True(len(b.kept) <= 100)
+			is.Equal(b.replayable(), size <= 100)
+			second, err := io.ReadAll(b.reader())
+			if size <= 100 {
+				is.NoErr(err)
+				is.True(bytes.Equal(second, content))
+			} else {
+				is.Equal(err, io.ErrUnexpectedEOF)
+			}
+		}
+	}
+}
+
+// chunked reads a few bytes at a time.
+type chunked struct {
+	io.Reader
+	size int
+}
+
+// Read implements io.Reader.
+func (c *chunked) Read(p []byte) (int, error) { return c.Reader.Read(p[:min(len(p), c.size)]) }
+
+// Guards against readers that wait for ever once the request is over.
+func TestEndOfARequestEndsItsReaders(t *testing.T) {
+	is := is.New(t)
+	never, _ := io.Pipe()
+	b := newReplayBody(never, 100)
+	ended := make(chan error)
+	go func() {
+		_, err := b.reader().Read(make([]byte, 10))
+		ended <- err
+	}()
+	b.close()
+	is.Equal(<-ended, io.ErrUnexpectedEOF)
+}
+
+// Guards against a body that is asked for before the request is let in, although its caller
+// wants to be refused without sending it.
+func TestBodyThatIsOfferedIsNotAskedForBeforeItIsNeeded(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.configure()
+	w.backend("desk", "b1", hello)
+	w.own("b1", 5)
+	asked, admitted := make(chan struct{}), make(chan struct{})
+	w.asked = sync.OnceFunc(func() {
+		close(asked)
+		<-admitted
+	})
+	caller, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	_, err = fmt.Fprintf(caller, "POST /book/x HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: r1\r\n%s: abc\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n",
+		wire.HeaderRequestID, wire.HeaderHash)
+	is.NoErr(err)
+	<-asked
+	is.NoErr(caller.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
+	_, err = caller.Read(make([]byte, 1))
+	is.True(err != nil && strings.Contains(err.Error(), "timeout"))
+	is.NoErr(caller.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	close(admitted)
+	in := bufio.NewReader(caller)
+	line, err := in.ReadString('\n')
+	is.NoErr(err)
+	is.True(strings.HasPrefix(line, "HTTP/1.1 100 "))
+	_, err = in.ReadString('\n')
+	is.NoErr(err)
+	fmt.Fprint(caller, "end")
+	resp, err := http.ReadResponse(in, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,7 +55,7 @@
 const maxKept = 256 << 10
 
 // read checks a request and finds its route and service.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request, t *table.Table, now time.Time) (*call, *verdict.Error) {
+func (g *Gateway) read(r *http.Request, t *table.Table, now time.Time) (*call, *verdict.Error) {
 	set := t.Items()
 	if set.Empty() {
 		return nil, verdict.Unavailable(verdict.ReasonSession, "this host has no configuration yet")
@@ -88,9 +88,13 @@
 	if r.ContentLength != 0 {
 		source := r.Body
 		if l := set.Limits(); l != nil && l.BodyBytes > 0 {
-			source = http.MaxBytesReader(w, r.Body, l.BodyBytes)
+			// Without the writer, whose header the reader would change beside the handler.
+			source = http.MaxBytesReader(nil, r.Body, l.BodyBytes)
 		}
 		c.body = newReplayBody(source, maxKept)
+		if r.Header.Get("Expect") == "" {
+			c.body.fill() // else the caller sends no body before an attempt asks for it
+		}
 	}
 	c.header = forwarded(r.Header)
 	return c, nil
--- a/internal/gateway/current_test.go
+++ b/internal/gateway/current_test.go
@@ -115,7 +115,7 @@
 	w.gateway.cfg.Limits.LeaveFor = 0
 	server := w.backend("vault", "v1", hello)
 	r := httptest.NewRequest("POST", "http://127.0.0.1/scan/x", strings.NewReader("order"))
-	c, refusal := w.gateway.read(httptest.NewRecorder(), r, w.tables(), time.Now())
+	c, refusal := w.gateway.read(r, w.tables(), time.Now())
 	is.True(refusal == nil)
 	chosen := target{backend: w.tables().Backend("vault", "v1")}
 	w.put("vault", "v1", server.Listener.Addr().String(), func(b *table.Backend) { b.Leaving = true })
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -40,11 +40,12 @@
 		g.refuse(w, r, nil, refusal, returnAfter(refusal))
 		return
 	}
-	c, refusal := g.read(w, r, g.cfg.Tables(), now)
+	c, refusal := g.read(r, g.cfg.Tables(), now)
 	if refusal != nil {
 		g.refuse(w, r, c, refusal, returnAfter(refusal))
 		return
 	}
+	defer c.body.close()
 	ctx, cancel := c.context()
 	defer cancel()
 	resp, failure, retryAfter := g.run(ctx, c)
@@ -235,6 +236,9 @@
 	if id := r.Header.Get(g.cfg.Dialect.IDHeader()); id != "" {
 		w.Header().Set(g.cfg.Dialect.IDHeader(), id)
 	}
+	if e.Status == http.StatusRequestEntityTooLarge {
+		w.Header().Set("Connection", "close") // the rest is not read
+	}
 	g.cfg.Dialect.Refuse(w.Header(), e, retryAfter)
 	text := e.Detail + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
