--- a/internal/gateway/duplex_test.go
+++ b/internal/gateway/duplex_test.go
@@ -71,3 +71,33 @@
 		})
 	}
 }
+
+// A large upload that is refused before it was read. Guards against a caller that sends its next
+// request on a connection that it was not told to leave, and gets no answer, because what is left
+// of the body is more than net/http reads.
+func TestCallersAreToldWhenALargeBodyEndsTheConnection(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.configure()
+	c, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+	const length = 400 << 10
+	fmt.Fprintf(c, "POST /scan/x HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: r1\r\nContent-Length: %d\r\n\r\n%s", wire.HeaderRequestID, length, "the start")
+	answers := bufio.NewReader(c)
+	resp, err := http.ReadResponse(answers, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	if resp.Close {
+		return
+	}
+	_, err = io.WriteString(c, strings.Repeat("x", length-len("the start")))
+	is.NoErr(err)
+	_, err = fmt.Fprintf(c, "POST /scan/x HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: r2\r\nContent-Length: 3\r\n\r\nend", wire.HeaderRequestID)
+	is.NoErr(err)
+	resp, err = http.ReadResponse(answers, nil)
+	is.NoErr(err) // the connection ended without an answer
+	is.Equal(resp.Header.Get(wire.HeaderRequestID), "r2")
+}
