Tell callers when the rest of a large body ends their connection

Callers saw: a kept connection that ended without an answer to its next request, after an upload was refused or answered before it was read whole.

Cause: net/http reads at most 256 KB of what is left of a body and then closes the connection, which the answer did not say.

TestCallersAreToldWhenALargeBodyEndsTheConnection failed before and passes.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -75,6 +75,13 @@
 	return err == nil
 }
 
+// progress returns how much was read from the source, and whether that is all.
+func (b *replayBody) progress() (read int64, whole bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end, b.err == io.EOF
+}
+
 // close ends all reading; the request is over. It may be called on nil.
 func (b *replayBody) close() {
 	if b == nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -70,6 +70,24 @@
 	_ = rc.SetReadDeadline(time.Time{}) // a connection that is closed has none
 }
 
+// maxUnread is how much of a body net/http reads after its answer to keep the connection.
+const maxUnread = 256 << 10
+
+// closeUnlessReadable tells the caller that the connection ends with the answer if more of
+// the body is left than is read after it.
+func (c *call) closeUnlessReadable(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	read, whole := int64(0), false
+	if c != nil && c.body != nil {
+		read, whole = c.body.progress()
+	}
+	if !whole && (r.ContentLength < 0 || r.ContentLength-read > maxUnread) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // configurationRetry is when a caller returns to a host that had no configuration: an
 // election and the way of the table take about as long after a start.
 const configurationRetry = 800 * time.Millisecond
@@ -154,6 +172,7 @@
 			w.Header().Set("Content-Length", length)
 		}
 	}
+	c.closeUnlessReadable(w, c.request)
 	w.WriteHeader(resp.StatusCode)
 	_, err := w.Write(resp.start)
 	if err == nil && resp.rest {
@@ -236,9 +255,7 @@
 	if id := r.Header.Get(g.cfg.Dialect.IDHeader()); id != "" {
 		w.Header().Set(g.cfg.Dialect.IDHeader(), id)
 	}
-	if e.Status == http.StatusRequestEntityTooLarge {
-		w.Header().Set("Connection", "close") // the rest is not read
-	}
+	c.closeUnlessReadable(w, r)
 	g.cfg.Dialect.Refuse(w.Header(), e, retryAfter)
 	text := e.Detail + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
