Answer every request before a planned stop ends

The earlier suspicion, an answer that waits for the body, was wrong: there was no answer.

Cause: nothing ended a request but its answer, its caller, the time of its route or the end of the process. The same for requests that wait for an owner, a permit or a connection. Beside it: http.Server.Shutdown closes a connection as idle whose request was just read, and a stop that found nothing in flight gave what came in that moment 0.3 s.

Change: at the end of a stop each request gets the answer that is true, not run (503) or may have run (504), and 0.3 s to get it to its caller; until then it goes on, because a silent server may still answer. Connections without a request end by their read deadline, so that one whose request was read first is served.

Tests that failed before: TestRequestsAreAnsweredBeforeAStopEnds, TestRequestsReadAsTheStopEndsAreAnswered, TestQuietStopWaitsForARequestThatHasJustCome. The last two held a request up until http.Server.Shutdown began, which is when idle connections were closed; they now hold it up until the stop begins to end idle connections, the same moment of the new order.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -3,34 +3,80 @@
 import (
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/agatestep/agatestep/internal/egress"
 )
 
-// callerListener applies the timeouts of the configuration in force to callers'
-// connections. Those of an http.Server cannot change while it serves.
+// callerListener accepts callers' connections. It applies the timeouts of the configuration
+// in force, which those of an http.Server cannot follow while it serves, and can end
+// the connections that carry no request.
 type callerListener struct {
 	net.Listener
 	timeouts func() (header, idle time.Duration)
 	link     *egress.Link
+
+	mu     sync.Mutex
+	conns  map[*callerConn]struct{}
+	ending bool
 }
 
 // Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+func (l *callerListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: l.link.Conn(c, egress.Answers), timeouts: l.timeouts}, nil
+	c := &callerConn{Conn: l.link.Conn(accepted, egress.Answers), listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns = map[*callerConn]struct{}{}
+	}
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// endIdle ends the connections on which no byte of a request was read, now and as others
+// become idle. http.Server.Shutdown would close one whose request was just read.
+func (l *callerListener) endIdle() {
+	l.mu.Lock()
+	l.ending = true
+	var open []*callerConn
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		c.endIfIdle()
+	}
+}
+
+// open returns the number of open connections.
+func (l *callerListener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *callerListener) isEnding() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ending
 }
 
 // callerConn replaces the read deadlines that an http.Server sets.
 type callerConn struct {
 	net.Conn
-	timeouts func() (header, idle time.Duration)
-	idle     atomic.Bool // the next deadline is that of an idle connection
+	listener *callerListener
+
+	mu sync.Mutex
+	// idle is set until the next deadline was set: it is that of an idle connection.
+	idle bool
+	// busy is set once a byte of the next request was read.
+	busy  bool
+	ended bool // by endIfIdle
 }
 
 // idleMargin is how much longer than stated a connection is kept, for requests
@@ -39,18 +85,73 @@
 
 // noteIdle is the ConnState of the server: it tells which deadline comes next.
 func noteIdle(c net.Conn, state http.ConnState) {
-	if cc, ok := c.(*callerConn); ok {
-		cc.idle.Store(state == http.StateIdle)
+	cc, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.idle = state == http.StateIdle
+	if cc.idle {
+		cc.busy = false
 	}
 }
 
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.began()
+	}
+	return n, err
+}
+
+// began notes that a request began to arrive. If the connection was ended meanwhile, the
+// request came first.
+func (c *callerConn) began() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	if c.ended {
+		c.ended = false
+		header, _ := c.listener.timeouts()
+		if header <= 0 {
+			header = headerReadTimeout
+		}
+		_ = c.Conn.SetReadDeadline(time.Now().Add(header)) // a closed connection needs none
+	}
+}
+
+// endIfIdle lets the server close the connection unless a request has begun to arrive.
+func (c *callerConn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy {
+		c.end()
+	}
+}
+
+// end makes reads fail. The caller holds c.mu.
+func (c *callerConn) end() {
+	c.ended = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a closed connection has ended already
+}
+
 // SetReadDeadline implements net.Conn. The server sets a deadline in the future
 // for an idle connection and for the headers of a request only.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	ending := c.listener.isEnding()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := time.Now()
+	wasIdle := c.idle
 	if t.After(now) {
-		header, idle := c.timeouts()
-		switch wasIdle := c.idle.Swap(false); {
+		c.idle = false
+		header, idle := c.listener.timeouts()
+		switch {
+		case wasIdle && ending && !c.busy:
+			c.end()
+			return nil
 		case wasIdle && idle > 0:
 			t = now.Add(idle + idleMargin)
 		case !wasIdle && header > 0:
@@ -59,3 +160,11 @@
 	}
 	return c.Conn.SetReadDeadline(t)
 }
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -60,6 +60,7 @@
 	adapter Adapter
 	session *session.Session
 	gateway *gateway.Gateway
+	callers *callerListener
 
 	permits *permitDesk
 }
@@ -137,7 +138,7 @@
 	h.peers.Register(wire.MethodPermitAsk, peer.Handle(h.handlePermitAsk))
 	h.peers.Register(wire.MethodPermitDone, peer.Handle(h.handlePermitDone))
 	go func() { _ = h.peers.Serve(h.listeners[listenPeer], h.serverTLS) }() // ends with its listener
-	traffic := h.serveOn(listenTraffic, callerListener{Listener: h.limited(listenTraffic), timeouts: h.gateway.CallerTimeouts, link: h.link}, h.gateway)
+	traffic := h.serveCallers()
 	h.serveHTTP(listenReadiness, h.adapter.ReadinessHandler(h.ready), nil)
 	h.serveHTTP(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
 	h.background.Go(func() { h.session.Run(loops) })
@@ -187,28 +188,33 @@
 	return min(time.Duration(takeShare*float64(stop)), maxTaking)
 }
 
+// serveCallers starts to serve callers.
+func (h *EntryHost) serveCallers() *http.Server {
+	h.callers = &callerListener{Listener: h.limited(listenTraffic), timeouts: h.gateway.CallerTimeouts, link: h.link}
+	return h.serveOn(listenTraffic, h.callers, h.gateway)
+}
+
 // shutdown reports that the host is not ready and serves on, because callers go on
-// using their connections. It ends when they have left or the time is over.
+// using their connections. It ends when they have left or the time is over; whoever still
+// waits then is told what is known of the request.
 func (h *EntryHost) shutdown(hard context.Context, traffic *http.Server) error {
 	h.logger.Info("stopping", zap.Int64("in_flight", h.gateway.InFlight()))
 	h.record("stopping", h.settings.Host, "")
 	began := h.clock.Now()
 	h.gateway.StartShutdown()
 	end := began.Add(h.settings.Deployment.StopTime - stopMargin)
-	for hard.Err() == nil && h.clock.Now().Before(end) {
-		now := h.clock.Now()
-		if now.Sub(began) >= takingFor(h.settings.Deployment.StopTime) {
-			h.gateway.StopTaking()
-		}
-		if now.Sub(began) >= unreadyFor && h.gateway.InFlight() == 0 && h.gateway.Quiet(now) >= quietFor {
-			break
-		}
-		pause(hard, 20*time.Millisecond)
+	h.serveUntilQuiet(hard, began, end)
+	h.callers.endIdle()
+	h.awaitCallers(hard, end)
+	if left := h.gateway.InFlight(); left > 0 {
+		h.logger.Warn("requests are ended with the stop", zap.Int64("in_flight", left))
 	}
-	ctx, cancel := context.WithTimeout(hard, stopMargin/2)
+	h.gateway.EndCalls()
+	h.awaitCallers(hard, end.Add(stopMargin/2))
+	ctx, cancel := context.WithTimeout(hard, stopMargin/4)
 	defer cancel()
 	if err := traffic.Shutdown(ctx); err != nil {
-		h.logger.Warn("requests cut off by the end of the stop", zap.Int64("in_flight", h.gateway.InFlight()), logging.Error(err))
+		h.logger.Warn("connections cut off by the end of the stop", zap.Int64("in_flight", h.gateway.InFlight()), zap.Int("connections", h.callers.open()), logging.Error(err))
 	}
 	if err := h.session.Close(ctx); err != nil {
 		h.logger.Warn("session not closed; it expires", logging.Error(err))
@@ -217,3 +223,28 @@
 	h.logger.Info("stopped", zap.Duration("took", h.clock.Now().Sub(began)))
 	return nil
 }
+
+// stopPoll is how often a stop looks at what is left.
+const stopPoll = 20 * time.Millisecond
+
+// serveUntilQuiet serves until no request has come for a while, and refuses new ones once
+// they might not end before the process does.
+func (h *EntryHost) serveUntilQuiet(hard context.Context, began, end time.Time) {
+	for hard.Err() == nil && h.clock.Now().Before(end) {
+		now := h.clock.Now()
+		if now.Sub(began) >= takingFor(h.settings.Deployment.StopTime) {
+			h.gateway.StopTaking()
+		}
+		if now.Sub(began) >= unreadyFor && h.gateway.InFlight() == 0 && h.gateway.Quiet(now) >= quietFor {
+			return
+		}
+		pause(hard, stopPoll)
+	}
+}
+
+// awaitCallers waits until no caller has a connection, or until end.
+func (h *EntryHost) awaitCallers(hard context.Context, end time.Time) {
+	for hard.Err() == nil && h.callers.open() > 0 && h.clock.Now().Before(end) {
+		pause(hard, stopPoll)
+	}
+}
--- a/internal/daemon/stop_answers_test.go
+++ b/internal/daemon/stop_answers_test.go
@@ -99,7 +99,7 @@
 				Timeout: 8 * time.Second, Target: time.Second, MaxAttempts: 2, Shares: []items.Share{{Service: name, Weight: 1}}}})
 		}
 	})
-	w.traffic = p.serveOn(listenTraffic, callerListener{Listener: p.limited(listenTraffic), timeouts: w.host.gateway.CallerTimeouts}, w.host.gateway)
+	w.traffic = w.host.serveCallers()
 	t.Cleanup(func() { _ = w.traffic.Close() })
 	return w
 }
@@ -149,6 +149,18 @@
 	return c, answers
 }
 
+// closing returns a channel that is closed once the stop ends idle connections.
+func (w *stopWorld) closing() chan struct{} {
+	began := make(chan struct{})
+	go func() {
+		for !w.host.callers.isEnding() {
+			time.Sleep(time.Millisecond)
+		}
+		close(began)
+	}()
+	return began
+}
+
 func order(path string) string {
 	return fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: r1\r\n%s: abc\r\nContent-Length: 5\r\n\r\norder", path, wire.HeaderRequestID, wire.HeaderHash)
 }
@@ -270,8 +282,7 @@
 			if kept {
 				conn, answers = w.kept()
 			}
-			closing := make(chan struct{})
-			w.traffic.RegisterOnShutdown(sync.OnceFunc(func() { close(closing) }))
+			closing := w.closing()
 			hook.mu.Lock()
 			hook.read = func() {
 				select {
@@ -334,8 +345,7 @@
 		_, _ = io.WriteString(rw, "done")
 	})
 	conn, answers := w.kept()
-	closing := make(chan struct{})
-	w.traffic.RegisterOnShutdown(sync.OnceFunc(func() { close(closing) }))
+	closing := w.closing()
 	paused.until.Store(&closing)
 	began := time.Now()
 	w.stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/agatestep/agatestep/internal/permit"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
+	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -116,6 +117,9 @@
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	closing  atomic.Bool
+	// ended ends with EndCalls.
+	ended    context.Context
+	endCalls context.CancelFunc
 	lastSeen atomic.Int64 // Unix nanoseconds of the last request
 }
 
@@ -142,6 +146,7 @@
 		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{}, reach: permit.NewReach(),
 		changed: make(chan struct{}), confirmed: make(chan struct{}), loads: newLoads(),
 	}
+	g.ended, g.endCalls = context.WithCancel(context.Background())
 	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, MaxDialTimeout: maxDialTimeout, UserTimeout: userTimeout, MaxUserTimeout: maxUserTimeout,
 		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, Link: cfg.Link, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
 	return g
@@ -173,6 +178,23 @@
 // the process does.
 func (g *Gateway) StopTaking() { g.closing.Store(true) }
 
+// EndCalls ends the requests that are being served, because the process ends. Each of them
+// is answered with what is known of it.
+func (g *Gateway) EndCalls() {
+	g.closing.Store(true)
+	g.endCalls()
+}
+
+// untilStopped returns a context that ends with ctx or with EndCalls.
+func (g *Gateway) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unwatch := context.AfterFunc(g.ended, func() { cancel(verdict.ErrHostStops) })
+	return ctx, func() {
+		unwatch()
+		cancel(nil)
+	}
+}
+
 // Quiet reports how long ago the last request came.
 func (g *Gateway) Quiet(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, g.lastSeen.Load()))
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -35,6 +35,9 @@
 		g.refuse(w, r, nil, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping"), minRetryAfter)
 		return
 	}
+	stoppable, done := g.untilStopped(r.Context())
+	defer done()
+	r = r.WithContext(stoppable)
 	g.awaitConfiguration(r.Context())
 	if refusal := g.awaitCurrent(r.Context(), g.timeGiven(r)); refusal != nil {
 		g.refuse(w, r, nil, refusal, returnAfter(refusal))
@@ -50,6 +53,9 @@
 	defer cancel()
 	resp, failure, retryAfter := g.run(ctx, c)
 	if failure != nil {
+		if failure.Reason == verdict.ReasonShutdown {
+			retryAfter = spread(minRetryAfter) // another host may take it
+		}
 		g.refuse(w, r, c, failure, retryAfter)
 		return
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -155,15 +155,13 @@
 	return verdict.Unavailable(verdict.ReasonNoBackend, reason)
 }
 
+// ended is the failure of a request that was not sent before its context ended.
 func ended(ctx context.Context) *verdict.Error {
-	switch ctx.Err() {
-	case nil:
+	if ctx.Err() == nil {
 		return nil
-	case context.DeadlineExceeded:
-		return verdict.Unavailable(verdict.ReasonDeadline, "the time is over before the request was sent")
-	default:
-		return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away")
 	}
+	reason, detail := verdict.Ended(ctx)
+	return verdict.Unavailable(reason, detail)
 }
 
 // maySend reports whether the call may be written once more.
@@ -299,7 +297,7 @@
 	g.cfg.Logger.Info("attempt failed", append(c.fields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
 		zap.String("verdict", e.Verdict.String()), zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail), zap.Duration("written_ago", c.writtenAgo(now)), zap.Duration("link_queue", g.cfg.Link.Queue()),
 		logging.Cause("cause", e.Cause))...)
-	if e.Reason == verdict.ReasonCancelled || e.Reason == verdict.ReasonDeadline {
+	if e.Reason == verdict.ReasonCancelled || e.Reason == verdict.ReasonDeadline || e.Reason == verdict.ReasonShutdown {
 		if e.Verdict != verdict.NotRun {
 			c.ran++
 		}
@@ -359,8 +357,8 @@
 		resp.Body.Close()
 		e := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Reason: verdict.ReasonConnectionLost,
 			Detail: "the answer broke off", Cause: err}
-		if ctx.Err() == context.DeadlineExceeded {
-			e.Status, e.Reason = http.StatusGatewayTimeout, verdict.ReasonDeadline
+		if ctx.Err() != nil {
+			e.End(ctx)
 		}
 		follow := finish
 		if c.match.Idempotent && ctx.Err() == nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -442,14 +442,8 @@
 
 // withContext names the end of the context as the cause.
 func withContext(ctx context.Context, e *verdict.Error) *verdict.Error {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		e.Reason, e.Detail = verdict.ReasonDeadline, "the time is over"
-		if e.Verdict == verdict.MayHaveRun {
-			e.Status = http.StatusGatewayTimeout
-		}
-	case ctx.Err() != nil:
-		e.Reason, e.Detail = verdict.ReasonCancelled, "the caller went away"
+	if ctx.Err() != nil {
+		e.End(ctx)
 	}
 	return e
 }
