Look whether the caller is still there before a request is written

Cause: net/http hears the end of a connection behind all that was sent, and in a goroutine of its own, which may run after the request was written.

Change: the last look before the writing, beside the age of the table and the target, asks the kernel whether the caller has closed. Connections of callers count against the limit in their own listener, because that of the library hides the descriptor.

Ruled out as sufficient: reading the body ahead; with it alone the cases 'with another request behind' of TestRequestOfACallerThatLeftIsNotSent and both of TestUnreadRequestsOfDepartedCallersAreNotSent fail.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -1,11 +1,15 @@
 package daemon
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/agatestep/agatestep/internal/egress"
 )
 
@@ -16,28 +20,58 @@
 	net.Listener
 	timeouts func() (header, idle time.Duration)
 	link     *egress.Link
+	// slots bound the open connections.
+	slots chan struct{}
+
+	closing context.Context
+	close   context.CancelFunc
 
 	mu     sync.Mutex
 	conns  map[*callerConn]struct{}
 	ending bool
 }
 
+// newCallerListener returns a listener that keeps at most limit connections open.
+func newCallerListener(l net.Listener, limit int, timeouts func() (header, idle time.Duration), link *egress.Link) *callerListener {
+	cl := &callerListener{Listener: l, timeouts: timeouts, link: link, slots: make(chan struct{}, limit), conns: map[*callerConn]struct{}{}}
+	cl.closing, cl.close = context.WithCancel(context.Background())
+	return cl
+}
+
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closing.Done():
+		return nil, net.ErrClosed
+	}
 	accepted, err := l.Listener.Accept()
 	if err != nil {
+		<-l.slots
 		return nil, err
 	}
-	c := &callerConn{Conn: l.link.Conn(accepted, egress.Answers), listener: l}
+	c := &callerConn{Conn: l.link.Conn(accepted, egress.Answers), accepted: accepted, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conns == nil {
-		l.conns = map[*callerConn]struct{}{}
-	}
 	l.conns[c] = struct{}{}
 	return c, nil
 }
 
+// Close implements net.Listener.
+func (l *callerListener) Close() error {
+	l.close()
+	return l.Listener.Close()
+}
+
+func (l *callerListener) closed(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, open := l.conns[c]; open {
+		delete(l.conns, c)
+		<-l.slots
+	}
+}
+
 // endIdle ends the connections on which no byte of a request was read, now and as others
 // become idle. http.Server.Shutdown would close one whose request was just read.
 func (l *callerListener) endIdle() {
@@ -69,6 +103,7 @@
 // callerConn replaces the read deadlines that an http.Server sets.
 type callerConn struct {
 	net.Conn
+	accepted net.Conn // below what accounts for its bytes
 	listener *callerListener
 
 	mu sync.Mutex
@@ -163,8 +198,15 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
+	c.listener.closed(c)
 	return c.Conn.Close()
 }
+
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.accepted.(syscall.Conn)
+	if !ok {
+		return nil, errors.NotSupportedf("%T", c.accepted)
+	}
+	return sc.SyscallConn()
+}
--- a/internal/daemon/callerconn_test.go
+++ b/internal/daemon/callerconn_test.go
@@ -20,7 +20,7 @@
 	const header, idle = 50 * time.Millisecond, 100 * time.Millisecond
 	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Hour, IdleTimeout: time.Hour, ConnState: noteIdle}
 	go func() {
-		_ = server.Serve(&callerListener{Listener: inner, timeouts: func() (time.Duration, time.Duration) { return header, idle }})
+		_ = server.Serve(newCallerListener(inner, 10, func() (time.Duration, time.Duration) { return header, idle }, nil))
 	}()
 	defer server.Close()
 	for name, c := range map[string]struct {
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -190,7 +190,7 @@
 
 // serveCallers starts to serve callers.
 func (h *EntryHost) serveCallers() *http.Server {
-	h.callers = &callerListener{Listener: h.limited(listenTraffic), timeouts: h.gateway.CallerTimeouts, link: h.link}
+	h.callers = newCallerListener(h.listeners[listenTraffic], h.settings.Limits.Connections, h.gateway.CallerTimeouts, h.link)
 	return h.serveOn(listenTraffic, h.callers, h.gateway)
 }
 
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/egress"
+	"github.com/agatestep/agatestep/internal/gateway"
 	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/settings"
@@ -123,6 +124,7 @@
 		MaxHeaderBytes:    p.settings.Limits.HeaderBytes,
 		ErrorLog:          zap.NewStdLog(p.logger),
 		ConnState:         noteIdle,
+		ConnContext:       gateway.ConnContext,
 	}
 	p.servers = append(p.servers, server)
 	go func() {
--- a/internal/gateway/current.go
+++ b/internal/gateway/current.go
@@ -78,8 +78,11 @@
 }
 
 // mayWrite is the last look before a request is written: the table may have turned old,
-// or the server may be leaving, since it was chosen.
+// the server may be leaving, or the caller may have left, since it was chosen.
 func (g *Gateway) mayWrite(c *call, t target) *verdict.Error {
+	if c.hasLeft() {
+		return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away before the request was sent")
+	}
 	if age, old := g.oldTable(); old {
 		g.cfg.Logger.Info("not sent by an old table", append(c.fields(), zap.String("backend", t.backend.Name), zap.Duration("table_age", age))...)
 		return g.refuseOld(age)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -50,7 +50,9 @@
 	w.gateway = New(Config{Host: "h1", DataCentre: "dc1", Tables: w.tables, Dialect: OwnDialect{}, Clock: clock.Real{}, Logger: zap.NewNop(),
 		Permits: w,
 		Limits:  Limits{RetryRatio: 0.2, RetryBurst: 10, LeaveFor: time.Second, EvacuateFor: time.Second}})
-	w.server = httptest.NewServer(w.gateway)
+	w.server = httptest.NewUnstartedServer(w.gateway)
+	w.server.Config.ConnContext = ConnContext
+	w.server.Start()
 	t.Cleanup(w.server.Close)
 	return w
 }
