--- /dev/null
+++ b/internal/upstream/review_test.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/verdict"
+)
+
+// Guards against a request that is written on a kept connection although its caller had left, or its
+// host was to end, before.
+func TestNothingIsWrittenOnceTheContextHasEnded(t *testing.T) {
+	is := is.New(t)
+	var read atomic.Int64
+	address := backend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			read.Add(1)
+			answer(c, req.Header.Get("Id"), "text")
+		}
+	})
+	c := newClient()
+	const times = 20
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range times {
+		resp, e := c.Do(context.Background(), request(address, "kept"))
+		is.True(e == nil)
+		_, err := resp.Body.Read(make([]byte, 10))
+		_ = err
+		for err == nil {
+			_, err = resp.Body.Read(make([]byte, 10))
+		}
+		is.NoErr(resp.Body.Close())
+		_, e = c.Do(ended, request(address, "late"))
+		is.True(e != nil)
+		is.Equal(e.Verdict, verdict.NotRun)
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(read.Load(), int64(times))
+}
+
+// Guards against a new connection that is thrown away because the last look kept its first request
+// unsent: opening one again costs the server, and the next request a round trip.
+func TestNewConnectionIsKeptWhenItsRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	address := sound(t, "text")
+	c := newClient()
+	r := request(address, "1")
+	r.Left = func(http.Header) *verdict.Error { return verdict.Unavailable(verdict.ReasonRetargeted, "moved") }
+	_, e := c.Do(context.Background(), r)
+	is.True(e != nil)
+	resp, e := c.Do(context.Background(), request(address, "2"))
+	is.True(e == nil)
+	is.NoErr(resp.Body.Close())
+	is.Equal(c.Opened.Load(), int64(1))
+}
