--- /dev/null
+++ b/internal/verdict/seed_test.go
@@ -0,0 +1,3 @@
+package verdict
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
