One place decides what the caller of a request is told in the end

Callers saw: 503 'not run' with a time to return after an earlier attempt of an idempotent request may have run; 503 'not run' in place of a failure that a backend server had answered, when the time was over while the request waited for room; and, at the end of a stop, a request that was sent after its wait had been ended.

A later refusal took the place of an earlier failure, one of the places forgot the answer at hand, and one did not look at the context after its wait.

Change: the call keeps the answer at hand and the worst failure of its attempts, one function ends it, and one function waits. The loop is split into choosing, letting in, sending and judging.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -29,6 +29,10 @@
 	sends, ran int
 	// written is when the request was last handed to a connection.
 	written time.Time
+	// fallback is a failure that a backend server answered to an attempt before, worst the
+	// failure of an attempt before after which most may have run.
+	fallback *held
+	worst    *verdict.Error
 	// admitted and served are the times that the call waited to be let in and that its
 	// attempts took.
 	admitted, served time.Duration
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,15 +51,11 @@
 	defer c.body.close()
 	ctx, cancel := c.context()
 	defer cancel()
-	resp, failure, retryAfter := g.run(ctx, c)
-	if failure != nil {
-		if failure.Reason == verdict.ReasonShutdown {
-			retryAfter = spread(minRetryAfter) // another host may take it
-		}
-		g.refuse(w, r, c, failure, retryAfter)
-		return
+	if o := g.run(ctx, c); o.failure != nil {
+		g.refuse(w, r, c, o.failure, o.retryAfter)
+	} else {
+		g.answer(w, c, o.answer)
 	}
-	g.answer(w, c, resp)
 }
 
 // bodyRestWait is how long a caller that has its answer may take for the rest of its body,
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/agatestep/agatestep/internal/backlog"
+	"github.com/agatestep/agatestep/internal/balance"
 	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
@@ -39,7 +40,7 @@
 	retrySpread   = 0.3
 )
 
-// next says what follows an attempt.
+// next says what follows a step of a call.
 type next uint8
 
 const (
@@ -48,107 +49,129 @@
 	wait        // for a newer table or a pause
 )
 
-// run sends a call until it is answered, or may not or cannot be sent again. A
-// refusal comes with the time after which the caller should return.
-func (g *Gateway) run(ctx context.Context, c *call) (*held, *verdict.Error, time.Duration) {
+// outcome is what the caller of a call is answered: the answer of a backend server, or a
+// failure with the time after which to return.
+type outcome struct {
+	answer     *held
+	failure    *verdict.Error
+	retryAfter time.Duration
+}
+
+// step is what one look or attempt came to.
+type step struct {
+	next    next
+	outcome outcome // of a call that is finished
+	// reason is why the call is not finished, and pause how long to wait then.
+	reason *verdict.Error
+	pause  time.Duration
+}
+
+func finished(o outcome) step { return step{outcome: o} }
+
+func waitFurther(reason *verdict.Error, pause time.Duration) step {
+	return step{next: wait, reason: reason, pause: pause}
+}
+
+// run sends a call until it is answered, or may not or cannot be sent again.
+func (g *Gateway) run(ctx context.Context, c *call) outcome {
 	budget := g.budget(c.service)
 	budget.OnRequest()
-	var last *verdict.Error
-	var fallback *held // a failure that a backend server answered
 	defer func() { c.opening.Forsake() }()
 	for {
 		changed := g.tableChange()
-		if refusal := g.awaitCurrent(ctx, c.left(g.cfg.Clock.Now())); refusal != nil {
-			return fallback, failureUnless(fallback, pickFailure(last, refusal)), spread(currentRetry)
-		}
-		target, refusal, delay := g.target(c)
-		switch {
-		case fallback != nil && target.backend == nil:
-			return fallback, nil, 0
-		case refusal != nil:
-			return nil, pickFailure(last, refusal), spread(delay)
-		case target.backend == nil:
-			if !g.mayHold(c) {
-				return nil, pickFailure(last, notServed(target.reason)), spread(delay)
-			}
-			waitFor(ctx, changed, delay)
-			if e := ended(ctx); e != nil {
-				return nil, pickFailure(last, e), 0
-			}
-			continue
-		}
-		asked := g.cfg.Clock.Now()
-		c.opening.Forsake() // of an attempt before
-		c.opening = nil
-		p := g.admit(ctx, c, target)
-		c.admitted += g.cfg.Clock.Now().Sub(asked)
-		switch {
-		case p.refusal != nil:
-			return fallback, failureUnless(fallback, pickFailure(last, p.refusal)), spread(p.delay)
-		case p.moved:
-			continue
-		case p.held:
-			if !g.mayHold(c) {
-				return fallback, failureUnless(fallback, pickFailure(last, notServed("the queue of the backend server is full"))), spread(holdPause)
-			}
-			waitFor(ctx, changed, holdPause)
-			if e := ended(ctx); e != nil {
-				return nil, pickFailure(last, e), 0
-			}
-			continue
-		}
-		if c.sends > 0 && !budget.TrySpend() {
-			g.release(target.backend, p, 0)
-			if last == nil {
-				last = verdict.Unavailable(verdict.ReasonOverloaded, "the retry budget is used up")
-			}
-			return fallback, failureUnless(fallback, last), spread(minRetryAfter)
+		s := g.once(ctx, c, budget)
+		if s.next == wait {
+			s = g.await(ctx, c, s, changed)
 		}
-		resp, failure, follow := g.attempt(ctx, c, target, p)
-		if failure == nil && follow == finish {
-			return resp, nil, 0
-		}
-		if follow == finish || ctx.Err() != nil || !c.maySend() {
-			if resp == nil {
-				resp = fallback
-			}
-			if resp != nil {
-				return resp, nil, 0
-			}
-			return nil, failure, spread(minRetryAfter)
-		}
-		if resp != nil {
-			if resp.rest {
-				return resp, nil, 0
-			}
-			resp.Body.Close()
-			fallback = resp
-		}
-		last = failure
-		g.counters.Retries.Add(1)
-		if follow == wait {
-			if !g.mayHold(c) {
-				return fallback, failureUnless(fallback, failure), spread(misdirectedPause)
-			}
-			waitFor(ctx, changed, misdirectedPause)
+		if s.next == finish {
+			return s.outcome
 		}
 	}
 }
 
-func failureUnless(fallback *held, e *verdict.Error) *verdict.Error {
-	if fallback != nil {
-		return nil
+// await waits before the next look at a call that could not be sent. The wait ends with the
+// call's context as well, so that nothing is sent for a caller that has left.
+func (g *Gateway) await(ctx context.Context, c *call, s step, changed <-chan struct{}) step {
+	if !g.mayHold(c) {
+		return finished(c.end(s.reason, s.pause))
 	}
-	return e
+	waitFor(ctx, changed, s.pause)
+	if e := ended(ctx); e != nil {
+		return finished(c.end(e, 0))
+	}
+	return step{next: again}
+}
+
+// once looks for the target of a call, gets the leave to send to it, and sends it.
+func (g *Gateway) once(ctx context.Context, c *call, budget *balance.Budget) step {
+	if refusal := g.awaitCurrent(ctx, c.left(g.cfg.Clock.Now())); refusal != nil {
+		return finished(c.end(refusal, currentRetry))
+	}
+	t, refusal, delay := g.target(c)
+	switch {
+	case refusal != nil:
+		return finished(c.end(refusal, delay))
+	case t.backend == nil && c.fallback != nil:
+		return finished(outcome{answer: c.fallback})
+	case t.backend == nil:
+		return waitFurther(notServed(t.reason), delay)
+	}
+	p, s := g.letIn(ctx, c, t, budget)
+	if p == nil {
+		return s
+	}
+	return g.judge(ctx, c, t, *p)
+}
+
+// letIn gets the leave to send a call to its target. Without it, the step says what follows.
+func (g *Gateway) letIn(ctx context.Context, c *call, t target, budget *balance.Budget) (*pass, step) {
+	asked := g.cfg.Clock.Now()
+	c.opening.Forsake() // of an attempt before
+	c.opening = nil
+	p := g.admit(ctx, c, t)
+	c.admitted += g.cfg.Clock.Now().Sub(asked)
+	switch {
+	case p.refusal != nil:
+		return nil, finished(c.end(p.refusal, p.delay))
+	case p.moved:
+		return nil, step{next: again}
+	case p.held:
+		return nil, waitFurther(notServed("the queue of the backend server is full"), holdPause)
+	}
+	if c.sends > 0 && !budget.TrySpend() {
+		g.release(t.backend, p, 0)
+		return nil, finished(c.end(verdict.Unavailable(verdict.ReasonOverloaded, "the retry budget is used up"), minRetryAfter))
+	}
+	return &p, step{}
+}
+
+// judge sends a call that was let in and says what follows its answer or failure.
+func (g *Gateway) judge(ctx context.Context, c *call, t target, p pass) step {
+	resp, failure, follow := g.attempt(ctx, c, t, p)
+	c.worst = verdict.Worse(c.worst, failure)
+	switch {
+	case resp != nil && (follow == finish || ctx.Err() != nil || !c.maySend() || resp.rest):
+		return finished(outcome{answer: resp})
+	case follow == finish || ctx.Err() != nil || !c.maySend():
+		return finished(c.end(failure, minRetryAfter))
+	case resp != nil:
+		resp.Body.Close()
+		c.fallback = resp
+	}
+	g.counters.Retries.Add(1)
+	if follow == wait {
+		return waitFurther(failure, misdirectedPause)
+	}
+	return step{next: again}
 }
 
-// pickFailure returns the failure to report: one after which the request may have
-// run is never replaced by a refusal.
-func pickFailure(last, refusal *verdict.Error) *verdict.Error {
-	if last != nil && last.Verdict != verdict.NotRun {
-		return last
+// end finishes a call that is not sent again, for the reason given: with an answer that is at
+// hand, or else with the failure after which most may have run.
+func (c *call) end(reason *verdict.Error, retryAfter time.Duration) outcome {
+	if c.fallback != nil {
+		return outcome{answer: c.fallback}
 	}
-	return refusal
+	return outcome{failure: verdict.Worse(c.worst, reason), retryAfter: spread(retryAfter)}
 }
 
 func notServed(reason string) *verdict.Error {
