Watch callers for as long as their requests last

Callers saw: nothing; servers worked to the end of the route's time for callers that had left while another request, an empty line or more than 256 KB of body stood unread before the end of their connection, and requests with Expect: 100-continue waited for room for them. A second attempt could break off in the middle of its body, because the first had read further.

Cause: the kernel was asked for the end of the caller's connection once, before the writing. The start of a body was dropped when any attempt had read all, not the one that is sent.

What is kept of a body is 512 KB, since a body whose rest has not arrived hides the end of its caller; all bodies together keep 32 MB. A body is dropped behind its newest attempt only.

TestWorkEndsWhenItsCallerLeavesBehindUnreadBytes, TestHostDoesNotWaitForDepartedCallersBehindAnUnreadBody and TestSecondAttemptGetsTheWholeBody failed before; TestBodiesOfAllCallsKeepToACommonBound is new with the bound.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -3,11 +3,16 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // fillBytes is how much of a body is read at once.
 const fillBytes = 8 << 10
 
+// maxShared bounds what all bodies of a host keep together, in bytes. Beyond it, bodies are read
+// as fast as attempts send them.
+const maxShared = 32 << 20
+
 var fillBuffers = sync.Pool{New: func() any { b := make([]byte, fillBytes); return &b }}
 
 // replayBody is the body of a caller's request. It is read as it arrives, whether the request
@@ -18,16 +23,17 @@
 	source io.Reader
 	begin  sync.Once
 	limit  int // bytes that are kept at most
+	// shared counts what all bodies of the host keep; nil means no common bound.
+	shared *atomic.Int64
 
 	mu      sync.Mutex
 	changed *sync.Cond
 	// kept are the bytes from offset start to offset end.
 	kept       []byte
 	start, end int64
-	// sent is the offset up to which an attempt has read.
-	sent   int64
-	err    error // that ended the source, or io.EOF
-	closed bool
+	newest     *attemptBody // of the attempt that began last
+	err        error        // that ended the source, or io.EOF
+	closed     bool
 }
 
 // newReplayBody keeps up to limit bytes.
@@ -58,18 +64,16 @@
 func (b *replayBody) add(p []byte, err error) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	full := func() bool { return len(b.kept)+len(p) > b.limit }
-	for full() && b.sent < b.end && !b.closed {
+	for b.full(len(p)) && !b.closed && (b.newest == nil || b.newest.at < b.end) {
 		b.changed.Wait()
 	}
 	if b.closed {
 		return false
 	}
-	if full() {
-		b.start, b.kept = b.end, b.kept[:0]
+	if b.full(len(p)) {
+		b.drop()
 	}
-	b.kept = append(b.kept, p...)
-	b.end += int64(len(p))
+	b.keep(p)
 	b.err = err
 	b.changed.Broadcast()
 	return err == nil
@@ -82,6 +86,30 @@
 	return b.end, b.err == io.EOF
 }
 
+// full reports whether n more bytes are too many to keep. The caller holds b.mu, as for keep
+// and drop.
+func (b *replayBody) full(n int) bool {
+	return len(b.kept) > 0 && (len(b.kept)+n > b.limit || b.shared != nil && b.shared.Load()+int64(n) > maxShared)
+}
+
+func (b *replayBody) keep(p []byte) {
+	b.kept = append(b.kept, p...)
+	b.end += int64(len(p))
+	b.count(len(p))
+}
+
+// drop forgets what is kept.
+func (b *replayBody) drop() {
+	b.count(-len(b.kept))
+	b.start, b.kept = b.end, b.kept[:0]
+}
+
+func (b *replayBody) count(n int) {
+	if b.shared != nil {
+		b.shared.Add(int64(n))
+	}
+}
+
 // close ends all reading; the request is over. It may be called on nil.
 func (b *replayBody) close() {
 	if b == nil {
@@ -90,6 +118,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
+	b.drop()
 	b.changed.Broadcast()
 }
 
@@ -106,7 +135,11 @@
 // reader returns the body from its start for one attempt.
 func (b *replayBody) reader() io.Reader {
 	b.fill()
-	return &attemptBody{body: b}
+	a := &attemptBody{body: b}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.newest = a
+	return a
 }
 
 // attemptBody reads the body for one attempt.
@@ -127,7 +160,6 @@
 		case a.at < b.end:
 			n := copy(p, b.kept[a.at-b.start:])
 			a.at += int64(n)
-			b.sent = max(b.sent, a.at)
 			b.changed.Broadcast()
 			return n, nil
 		case b.err != nil:
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -51,6 +52,32 @@
 // Read implements io.Reader.
 func (c *chunked) Read(p []byte) (int, error) { return c.Reader.Read(p[:min(len(p), c.size)]) }
 
+// Many callers send large bodies that wait for a permit. Guards against a host that runs out of
+// memory because each of them is read ahead, and against a count that does not fall again.
+func TestBodiesOfAllCallsKeepToACommonBound(t *testing.T) {
+	is := is.New(t)
+	var shared atomic.Int64
+	var bodies []*replayBody
+	for range 100 {
+		b := newReplayBody(bytes.NewReader(make([]byte, maxKept)), maxKept)
+		b.shared = &shared
+		b.fill()
+		bodies = append(bodies, b)
+	}
+	for range 3 { // the others are kept up, but one that is sent is read on
+		n, err := io.Copy(io.Discard, bodies[99].reader())
+		if bodies[99].replayable() {
+			is.NoErr(err)
+			is.Equal(n, int64(maxKept))
+		}
+	}
+	is.True(shared.Load() <= maxShared+100*fillBytes)
+	for _, b := range bodies {
+		b.close()
+	}
+	is.Equal(shared.Load(), int64(0))
+}
+
 // Guards against readers that wait for ever once the request is over.
 func TestEndOfARequestEndsItsReaders(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,7 +56,7 @@
 
 // maxKept is the size up to which bodies are kept to be sent again. Most uploads
 // are smaller; a larger one gets one attempt.
-const maxKept = 256 << 10
+const maxKept = 512 << 10
 
 // read checks a request and finds its route and service.
 func (g *Gateway) read(r *http.Request, t *table.Table, now time.Time) (*call, *verdict.Error) {
@@ -96,6 +96,7 @@
 			source = http.MaxBytesReader(nil, r.Body, l.BodyBytes)
 		}
 		c.body = newReplayBody(source, maxKept)
+		c.body.shared = &g.bodyBytes
 		if r.Header.Get("Expect") == "" {
 			c.body.fill() // else the caller sends no body before an attempt asks for it
 		}
--- a/internal/gateway/current.go
+++ b/internal/gateway/current.go
@@ -80,7 +80,7 @@
 // mayWrite is the last look before a request is written: the table may have turned old,
 // the server may be leaving, or the caller may have left, since it was chosen.
 func (g *Gateway) mayWrite(c *call, t target) *verdict.Error {
-	if c.hasLeft() {
+	if hasLeft(c.request.Context()) {
 		return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away before the request was sent")
 	}
 	if age, old := g.oldTable(); old {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,8 +115,10 @@
 	// hosts is the largest number of entry hosts that this process has seen.
 	hosts    int
 	inFlight atomic.Int64
-	stopping atomic.Bool
-	closing  atomic.Bool
+	// bodyBytes is what the bodies of all calls keep.
+	bodyBytes atomic.Int64
+	stopping  atomic.Bool
+	closing   atomic.Bool
 	// ended ends with EndCalls.
 	ended    context.Context
 	endCalls context.CancelFunc
@@ -185,10 +187,12 @@
 	g.endCalls()
 }
 
-// untilStopped returns a context that ends with ctx or with EndCalls.
-func (g *Gateway) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+// lifetime returns the context of a request: it ends with ctx, with the caller's
+// connection, or with EndCalls.
+func (g *Gateway) lifetime(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	unwatch := context.AfterFunc(g.ended, func() { cancel(verdict.ErrHostStops) })
+	watchCaller(ctx, cancel)
 	return ctx, func() {
 		unwatch()
 		cancel(nil)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -35,9 +35,9 @@
 		g.refuse(w, r, nil, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping"), minRetryAfter)
 		return
 	}
-	stoppable, done := g.untilStopped(r.Context())
+	ctx, done := g.lifetime(r.Context())
 	defer done()
-	r = r.WithContext(stoppable)
+	r = r.WithContext(ctx)
 	g.awaitConfiguration(r.Context())
 	if refusal := g.awaitCurrent(r.Context(), g.timeGiven(r)); refusal != nil {
 		g.refuse(w, r, nil, refusal, returnAfter(refusal))
