Answers reach callers that send on, leave late or read slowly

Callers saw: an answer cut short on a connection that ends, because the rest of the body met a closed connection; a kept connection that ended without a word when just 256 KB of a body were left, or after an answer to a request that was under way when the stop began. A caller that read nothing of a large answer kept its request in flight without end.

Cause: net/http reads nothing of the rest of a body when the connection ends with its answer, and one byte less than this code believed when it does not. Whether the host stops was looked at when the request came, not when the answer was written. Writing had no deadline.

Change: the rest of a body is read before the connection closes, 3 s at most; the end of the connection is told in each head that is written after the stop began; a part of an answer that is not taken within 3 s ends the request.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -28,9 +28,6 @@
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		defer finishBody(w, r)
 	}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if g.closing.Load() {
 		g.refuse(w, r, nil, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping"), minRetryAfter)
 		return
@@ -58,36 +55,75 @@
 	}
 }
 
-// bodyRestWait is how long a caller that has its answer may take for the rest of its body,
-// where the configuration does not say how long headers may take.
-const bodyRestWait = 3 * time.Second
+// callerStall is how long a caller may take to read a part of its answer, or to send the rest
+// of a body whose answer it has.
+const callerStall = 3 * time.Second
 
-// finishBody hands the answer over and reads what is left of the body, so that the
-// connection can serve another request. net/http would do it in the other order.
+// finishBody hands the answer over and reads what is left of the body: another request may
+// follow it, and a connection that closes with unread bytes is reset, which takes back
+// answers on their way. net/http would read first and answer then.
 func finishBody(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
-	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(bodyRestWait)) != nil || r.Body.Close() != nil {
+	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(callerStall)) != nil {
 		panic(http.ErrAbortHandler) // the rest must not be taken for the next request
 	}
+	_, err := io.CopyN(io.Discard, r.Body, maxUnread)
+	if err != io.EOF && err != http.ErrBodyReadAfterClose && r.Body.Close() != nil {
+		panic(http.ErrAbortHandler)
+	}
 	_ = rc.SetReadDeadline(time.Time{}) // a connection that is closed has none
 }
 
+// answerWriter writes an answer to a caller. It fails if the caller reads nothing for long,
+// which would keep the request from ending.
+type answerWriter struct {
+	to io.Writer
+	rc *http.ResponseController
+}
+
+func newAnswerWriter(w http.ResponseWriter) io.Writer {
+	return &answerWriter{to: w, rc: http.NewResponseController(w)}
+}
+
+// answerPart is how much of an answer is written under one deadline.
+const answerPart = 32 << 10
+
+// Write implements io.Writer.
+func (a *answerWriter) Write(p []byte) (written int, err error) {
+	for err == nil && written < len(p) {
+		_ = a.rc.SetWriteDeadline(time.Now().Add(callerStall)) // recorders of tests have no deadlines
+		var n int
+		n, err = a.to.Write(p[written:min(written+answerPart, len(p))])
+		written += n
+	}
+	return written, err
+}
+
 // maxUnread is how much of a body net/http reads after its answer to keep the connection.
 const maxUnread = 256 << 10
 
-// closeUnlessReadable tells the caller that the connection ends with the answer if more of
-// the body is left than is read after it.
-func (c *call) closeUnlessReadable(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 {
-		return
+// tellOfEnd says in the head of an answer that the connection ends with it: the host stops,
+// or more of the body is left than is read after it.
+func (g *Gateway) tellOfEnd(w http.ResponseWriter, r *http.Request, c *call) {
+	if g.stopping.Load() || r.ContentLength != 0 && c.unread(r) >= maxUnread {
+		w.Header().Set("Connection", "close")
 	}
+}
+
+// unread is how much of the body was not read yet, as far as it is known. The call may be
+// nil, if the request was refused before it became one.
+func (c *call) unread(r *http.Request) int64 {
 	read, whole := int64(0), false
 	if c != nil && c.body != nil {
 		read, whole = c.body.progress()
 	}
-	if !whole && (r.ContentLength < 0 || r.ContentLength-read > maxUnread) {
-		w.Header().Set("Connection", "close")
+	switch {
+	case whole:
+		return 0
+	case r.ContentLength < 0:
+		return maxUnread
 	}
+	return r.ContentLength - read
 }
 
 // configurationRetry is when a caller returns to a host that had no configuration: an
@@ -174,11 +210,12 @@
 			w.Header().Set("Content-Length", length)
 		}
 	}
-	c.closeUnlessReadable(w, c.request)
+	g.tellOfEnd(w, c.request, c)
 	w.WriteHeader(resp.StatusCode)
-	_, err := w.Write(resp.start)
+	out := newAnswerWriter(w)
+	_, err := out.Write(resp.start)
 	if err == nil && resp.rest {
-		_, err = io.Copy(struct{ io.Writer }{w}, resp.Body)
+		_, err = io.Copy(out, resp.Body)
 	}
 	g.finished(c, resp.StatusCode, err)
 	if err != nil {
@@ -257,7 +294,7 @@
 	if id := r.Header.Get(g.cfg.Dialect.IDHeader()); id != "" {
 		w.Header().Set(g.cfg.Dialect.IDHeader(), id)
 	}
-	c.closeUnlessReadable(w, r)
+	g.tellOfEnd(w, r, c)
 	g.cfg.Dialect.Refuse(w.Header(), e, retryAfter)
 	text := e.Detail + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
