A refusal does not wait for a body that is not sent

A caller that waits to be asked for its body (Expect: 100-continue) sends none after a refusal. Found by reading; TestRefusalDoesNotWaitForABodyThatIsNotSent fails without the change.

--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -127,3 +127,23 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
 }
+
+// A request is refused whose caller waits to be asked for the body. Guards against a host that
+// waits for a body which the caller does not send after the answer.
+func TestRefusalDoesNotWaitForABodyThatIsNotSent(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.configure()
+	w.permit = wire.PermitReply{State: wire.PermitRefused}
+	w.backend("desk", "b1", hello)
+	w.own("b1", 5)
+	caller := w.caller(is)
+	defer caller.leave(false)
+	fmt.Fprintf(caller.conn, "POST /book/x HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: r1\r\n%s: abc\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n",
+		wire.HeaderRequestID, wire.HeaderHash)
+	began := time.Now()
+	resp, err := http.ReadResponse(bufio.NewReader(caller.conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	w.settled(is)
+	is.True(time.Since(began) < callerStall)
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -67,7 +67,10 @@
 	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(callerStall)) != nil {
 		panic(http.ErrAbortHandler) // the rest must not be taken for the next request
 	}
-	_, err := io.CopyN(io.Discard, r.Body, maxUnread)
+	var err error
+	if r.Header.Get("Expect") == "" { // else the caller may send no body at all
+		_, err = io.CopyN(io.Discard, r.Body, maxUnread)
+	}
 	if err != io.EOF && err != http.ErrBodyReadAfterClose && r.Body.Close() != nil {
 		panic(http.ErrAbortHandler)
 	}
