A stop does not wait for a renewal of the session

Callers saw: nothing by itself.

Cause: the end of a session waited for a lock that a renewal holds until its answer comes, whatever the time of the caller.

Change: the end of a session ends a renewal that is under way, and waits for its turn as long as its own time allows.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -76,8 +76,11 @@
 	seeds atomic.Pointer[[]Replica]
 	table atomic.Pointer[table.Table]
 	lease atomic.Pointer[lease]
-	// renewing keeps renewals in sequence.
-	renewing sync.Mutex
+	// renewing keeps renewals in sequence: it has room for one.
+	renewing chan struct{}
+	// ended ends with Close, and with it a renewal that waits for its answer.
+	ended    context.Context
+	end      context.CancelFunc
 	lastLoad time.Time
 	closing  atomic.Bool
 	patience time.Duration // of the watch loop only
@@ -111,6 +114,8 @@
 	}
 	s := &Session{cfg: cfg, patience: cfg.CallTimeout,
 		leader: newLeaderHint(cfg.Replicas), followed: newLeaderHint(cfg.Replicas), changed: make(chan struct{}, 1)}
+	s.renewing = make(chan struct{}, 1)
+	s.ended, s.end = context.WithCancel(context.Background())
 	s.seeds.Store(&cfg.Replicas)
 	s.table.Store(table.Empty())
 	s.lease.Store(&lease{})
@@ -183,10 +188,27 @@
 	s.cfg.Record(kind, s.cfg.Host.Host, "")
 }
 
+// startRenewal waits until no renewal is under way.
+func (s *Session) startRenewal(ctx context.Context) error {
+	select {
+	case s.renewing <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
+func (s *Session) endRenewal() { <-s.renewing }
+
 // Renew renews the session once, asking each replica in turn until one grants it.
 func (s *Session) Renew(ctx context.Context) error {
-	s.renewing.Lock()
-	defer s.renewing.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ended, cancel)()
+	if err := s.startRenewal(ctx); err != nil {
+		return errors.Annotate(err, "session is closing")
+	}
+	defer s.endRenewal()
 	if s.closing.Load() {
 		return errors.New("session is closing")
 	}
@@ -305,8 +327,11 @@
 // that this host routes nothing more when the leader hands its roles on.
 func (s *Session) Close(ctx context.Context) error {
 	s.closing.Store(true)
-	s.renewing.Lock()
-	defer s.renewing.Unlock()
+	s.end()
+	if err := s.startRenewal(ctx); err != nil {
+		return errors.Annotate(err, "closing the session")
+	}
+	defer s.endRenewal()
 	s.lease.Store(&lease{floor: s.lease.Load().floor})
 	request := wire.SessionRenew{Host: s.cfg.Host, Instance: s.cfg.Instance, Closing: true}
 	var last error
