Write no request once its context has ended

Callers saw: nothing; a server could get a request whose caller had left, or whose host was ending its requests, and a departed caller or a stop could count as a failure of the server.

Cause: Client.Do did not look at the context before the writing. On a kept connection nothing before it does either, so the request was written and the connection then reset. A write that this reset made fail was reported as "overloaded".

Ruled out: the wait for a new connection, which ends with the context.

Change: the context is looked at right after the last look of the gateway. The failure is not run, with the reason of the end, and the unused connection is kept. A write that fails because the context ended names that end as well.

Conclusion: between this look and the write there is no wait of the host; a context that ends in that moment still resets the connection.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -151,14 +151,18 @@
 			return nil, refusal
 		}
 	}
+	if ctx.Err() != nil {
+		cn.release(c.cfg.Clock.Now(), time.Until(cn.until))
+		return nil, verdict.Unavailable(verdict.Ended(ctx))
+	}
 	cn.limitSilence(c.userTimeout())
 	x.stop = context.AfterFunc(ctx, cn.reset)
 	started, err := x.write()
 	if err != nil {
 		x.abandon()
 		if !started {
-			return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable,
-				Reason: verdict.ReasonOverloaded, Detail: "the connection was closed before the request was written", Cause: err}
+			return nil, withContext(ctx, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable,
+				Reason: verdict.ReasonOverloaded, Detail: "the connection was closed before the request was written", Cause: err})
 		}
 		return nil, x.failure(ctx, reused, err)
 	}
--- a/internal/upstream/review_test.go
+++ b/internal/upstream/review_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -65,3 +66,49 @@
 	is.NoErr(resp.Body.Close())
 	is.Equal(c.Opened.Load(), int64(1))
 }
+
+// interruptedConn runs a function before the first bytes are written.
+type interruptedConn struct {
+	*net.TCPConn
+	interrupt func()
+}
+
+func (c *interruptedConn) Write(p []byte) (int, error) {
+	c.interrupt()
+	return c.TCPConn.Write(p)
+}
+
+// Guards against a caller that leaves, or a host that stops, just before the request is written,
+// and that is counted as a failure of the server.
+func TestEndOfTheContextBeforeTheWriteIsNamed(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause error
+		want  verdict.Reason
+	}{
+		"the caller leaves": {context.Canceled, verdict.ReasonCancelled},
+		"the host stops":    {verdict.ErrHostStops, verdict.ReasonShutdown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			client := newClient()
+			client.dialer = func(ctx context.Context, address string) (net.Conn, error) {
+				raw, err := client.dialTCP(ctx, address)
+				if err != nil {
+					return nil, err
+				}
+				tcp := raw.(*net.TCPConn)
+				return &interruptedConn{tcp, func() {
+					cancel(c.cause)
+					for !errors.Is(tcp.SetDeadline(time.Time{}), net.ErrClosed) {
+						time.Sleep(time.Millisecond)
+					}
+				}}, nil
+			}
+			_, e := client.Do(ctx, request(sound(t, "text"), "1"))
+			is.True(e != nil)
+			is.Equal(e.Verdict, verdict.NotRun)
+			is.Equal(e.Reason, c.want)
+		})
+	}
+}
