Keep a new connection whose request was not sent

Callers saw: a round trip more, and servers the opening of one more connection, after each request that the last look before the writing kept back on a new connection.

Cause: such a connection was released until the time at which the server may close it, which is set by an answer only. It was past for a connection without an answer, so the next request dropped the connection and opened another.

Ruled out: kept connections, whose time is known and goes on.

Change: a connection that was not used yet is kept as long as any.

Evidence: TestNewConnectionIsKeptWhenItsRequestIsNotSent failed before and passes.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -147,12 +147,12 @@
 	x := &exchange{client: c, conn: cn, req: req, ctx: ctx}
 	if req.Left != nil {
 		if refusal := req.Left(req.Header); refusal != nil {
-			cn.release(c.cfg.Clock.Now(), time.Until(cn.until))
+			cn.releaseUnused(c.cfg.Clock.Now(), c.cfg.MaxIdle)
 			return nil, refusal
 		}
 	}
 	if ctx.Err() != nil {
-		cn.release(c.cfg.Clock.Now(), time.Until(cn.until))
+		cn.releaseUnused(c.cfg.Clock.Now(), c.cfg.MaxIdle)
 		return nil, verdict.Unavailable(verdict.Ended(ctx))
 	}
 	cn.limitSilence(c.userTimeout())
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -166,6 +166,15 @@
 	c.pool.used = now
 }
 
+// releaseUnused keeps a connection whose request was not written. The time for which the
+// backend server keeps it open goes on; a new connection is kept for most.
+func (c *conn) releaseUnused(now time.Time, most time.Duration) {
+	if !c.until.IsZero() {
+		most = c.until.Sub(now)
+	}
+	c.release(now, most)
+}
+
 // closeIdle closes the connections that are idle for longer than maxIdle and
 // reports whether the pool is unused.
 func (p *pool) closeIdle(now time.Time, maxIdle time.Duration) (unused bool) {
