Tell callers of the entry path the worst of all attempts

Callers saw: not-run (503) for requests that may have run: an attempt broke off after it was sent, and a later one was refused, found no owner before the deadline, or found no server. A caller sends such a request again although it must not.

Cause: run returned the failure of the latest attempt or wait. A hedged pair returned the one that failed last.

Ruled out: the dispatcher, which sends again only what was not written, and the relay, which passes verdicts on.

Change: a call keeps the worst failure of its attempts by verdict.Worse, and run, the only place that a failure leaves by, returns it. Whether to send again is still decided by the latest attempt.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -33,6 +33,7 @@
 	held       []byte               // the whole body when it is small
 	stream     func() *forward.Body // the body when it is streamed
 	last       *forward.Body        // body of the last attempt when it is streamed
+	failures   failures             // of its attempts
 }
 
 // requestIDPattern is the form of request ids that callers may choose.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/agatestep/agatestep/internal/dispatch"
@@ -26,13 +27,24 @@
 // untilDeadline is a wait that the context of the request ends.
 const untilDeadline = time.Hour
 
-// run sends the call until it is answered or may not be sent again.
+// run sends the call until it is answered or may not be sent again. A failure says what is
+// known after all attempts.
 func (h *Handler) run(ctx context.Context, c *call) (*http.Response, *verdict.Error) {
 	h.retries.OnRequest()
+	send := h.runKeyed
 	if !c.keyed {
 		h.hedges.OnRequest()
-		return h.runUnkeyed(ctx, c)
+		send = h.runUnkeyed
 	}
+	resp, err := send(ctx, c)
+	if err != nil {
+		return nil, c.failures.with(err)
+	}
+	return resp, nil
+}
+
+// runKeyed sends a call to the owner of its key.
+func (h *Handler) runKeyed(ctx context.Context, c *call) (*http.Response, *verdict.Error) {
 	r := keyedRoute(h.cfg.Tables(), c.file.Service, c.hash)
 	for attempt := 1; ; attempt++ {
 		if !r.usable {
@@ -85,8 +97,32 @@
 	return true
 }
 
-// attempt sends the call once, on this host or over the relay.
+// attempt sends the call once and keeps how that failed.
 func (h *Handler) attempt(ctx context.Context, c *call, r route, attempt int) (*http.Response, *verdict.Error) {
+	resp, err := h.send(ctx, c, r, attempt)
+	if err != nil {
+		c.failures.with(err)
+		return nil, err
+	}
+	return resp, nil
+}
+
+// failures keeps the worst failure of the attempts of one call.
+type failures struct {
+	mu    sync.Mutex
+	worst *verdict.Error
+}
+
+// with adds a failure and returns the worst so far.
+func (f *failures) with(e *verdict.Error) *verdict.Error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.worst = verdict.Worse(f.worst, e)
+	return f.worst
+}
+
+// send sends the call once, on this host or over the relay.
+func (h *Handler) send(ctx context.Context, c *call, r route, attempt int) (*http.Response, *verdict.Error) {
 	if !h.sessionValid() {
 		return nil, verdict.Unavailable(verdict.ReasonSession, "this host has no valid session")
 	}
--- /dev/null
+++ b/internal/entry/seed_test.go
@@ -0,0 +1,3 @@
+package entry
+
+import _ "github.com/agatestep/agatestep/internal/fixedseed"
