Move the look at a caller's connection to a package of its own

The entry path needs it as well: Left for a handler, Context for its server. No change of behaviour; gateway.ConnContext becomes callerconn.Context, and call.hasLeft callerconn.Left.

--- a/internal/gateway/presence_linux.go
+++ b/internal/callerconn/closed_linux.go
@@ -1,4 +1,4 @@
-package gateway
+package callerconn
 
 import (
 	"syscall"
@@ -6,8 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// closedByPeer reports whether the other side has closed or reset a connection.
-func closedByPeer(raw syscall.RawConn) bool {
+// ClosedByPeer reports whether the other side has closed or reset a connection.
+func ClosedByPeer(raw syscall.RawConn) bool {
 	closed := false
 	err := raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -13,9 +13,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/egress"
-	"github.com/agatestep/agatestep/internal/gateway"
 	"github.com/agatestep/agatestep/internal/logging"
 	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/settings"
@@ -124,7 +124,7 @@
 		MaxHeaderBytes:    p.settings.Limits.HeaderBytes,
 		ErrorLog:          zap.NewStdLog(p.logger),
 		ConnState:         noteIdle,
-		ConnContext:       gateway.ConnContext,
+		ConnContext:       callerconn.Context,
 	}
 	p.servers = append(p.servers, server)
 	go func() {
--- a/internal/gateway/current.go
+++ b/internal/gateway/current.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
@@ -80,7 +81,7 @@
 // mayWrite is the last look before a request is written: the table may have turned old,
 // the server may be leaving, or the caller may have left, since it was chosen.
 func (g *Gateway) mayWrite(c *call, t target) *verdict.Error {
-	if hasLeft(c.request.Context()) {
+	if callerconn.Left(c.request.Context()) {
 		return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away before the request was sent")
 	}
 	if age, old := g.oldTable(); old {
--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/upstream"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -208,7 +209,7 @@
 			w.backend("vault", "v1", func(rw http.ResponseWriter, r *http.Request) { arrived.Add(1); hello(rw, r) })
 			w.server.Close()
 			w.server = httptest.NewUnstartedServer(w.gateway)
-			w.server.Config.ConnContext = ConnContext
+			w.server.Config.ConnContext = callerconn.Context
 			listener := heldListener{w.server.Listener, make(chan struct{})}
 			w.server.Listener = listener
 			w.server.Start()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/agatestep/agatestep/internal/balance"
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/egress"
 	"github.com/agatestep/agatestep/internal/permit"
@@ -192,7 +193,7 @@
 func (g *Gateway) lifetime(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	unwatch := context.AfterFunc(g.ended, func() { cancel(verdict.ErrHostStops) })
-	watchCaller(ctx, cancel)
+	callerconn.Watch(ctx, cancel)
 	return ctx, func() {
 		unwatch()
 		cancel(nil)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/items"
 	"github.com/agatestep/agatestep/internal/service"
@@ -51,7 +52,7 @@
 		Permits: w,
 		Limits:  Limits{RetryRatio: 0.2, RetryBurst: 10, LeaveFor: time.Second, EvacuateFor: time.Second}})
 	w.server = httptest.NewUnstartedServer(w.gateway)
-	w.server.Config.ConnContext = ConnContext
+	w.server.Config.ConnContext = callerconn.Context
 	w.server.Start()
 	t.Cleanup(w.server.Close)
 	return w
--- a/internal/gateway/presence_other.go
+++ /dev/null
@@ -1,7 +0,0 @@
-//go:build !linux
-
-package gateway
-
-import "syscall"
-
-func closedByPeer(syscall.RawConn) bool { return false }
--- a/internal/gateway/review_test.go
+++ b/internal/gateway/review_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/items"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
@@ -63,7 +64,7 @@
 				go func() { _, _ = io.Copy(io.Discard, in) }() // until the connection ends
 				for hung := false; !hung; time.Sleep(time.Millisecond) {
 					raw, _ := conn.(*net.TCPConn).SyscallConn()
-					hung = closedByPeer(raw)
+					hung = callerconn.ClosedByPeer(raw)
 				}
 				close(ended)
 			}()
