End the connection of a refused caller whose body was not asked for

A caller that waits to be asked for its body is told that the connection ends (net/http says so), so it ends after the answer was handed over. An answer that breaks off is no longer followed by the reading of the rest.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -22,7 +22,8 @@
 type replayBody struct {
 	source io.Reader
 	begin  sync.Once
-	limit  int // bytes that are kept at most
+	begun  atomic.Bool // set once the source is read
+	limit  int         // bytes that are kept at most
 	// shared counts what all bodies of the host keep; nil means no common bound.
 	shared *atomic.Int64
 
@@ -47,6 +48,7 @@
 // limit bytes wait for the attempts.
 func (b *replayBody) fill() {
 	b.begin.Do(func() {
+		b.begun.Store(true)
 		go func() {
 			part := fillBuffers.Get().(*[]byte)
 			defer fillBuffers.Put(part)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,6 +54,9 @@
 
 func (c *call) left(now time.Time) time.Duration { return c.until.Sub(now) }
 
+// askedForBody reports whether the body of a request was read at all. The call may be nil.
+func (c *call) askedForBody() bool { return c != nil && c.body != nil && c.body.begun.Load() }
+
 // maxKept is the size up to which bodies are kept to be sent again. Most uploads
 // are smaller; a larger one gets one attempt.
 const maxKept = 512 << 10
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,11 +26,18 @@
 		// An answer does not wait for the rest of the body. Every HTTP/1.1 connection of
 		// net/http can do that.
 		_ = http.NewResponseController(w).EnableFullDuplex()
-		defer finishBody(w, r)
 	}
+	c := g.serve(w, r, now)
+	if r.ContentLength != 0 {
+		finishBody(w, r, c)
+	}
+}
+
+// serve answers a request. The call is nil if the request was refused before it became one.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, now time.Time) *call {
 	if g.closing.Load() {
 		g.refuse(w, r, nil, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping"), minRetryAfter)
-		return
+		return nil
 	}
 	ctx, done := g.lifetime(r.Context())
 	defer done()
@@ -38,12 +45,12 @@
 	g.awaitConfiguration(r.Context())
 	if refusal := g.awaitCurrent(r.Context(), g.timeGiven(r)); refusal != nil {
 		g.refuse(w, r, nil, refusal, returnAfter(refusal))
-		return
+		return nil
 	}
 	c, refusal := g.read(r, g.cfg.Tables(), now)
 	if refusal != nil {
 		g.refuse(w, r, c, refusal, returnAfter(refusal))
-		return
+		return c
 	}
 	defer c.body.close()
 	ctx, cancel := c.context()
@@ -53,6 +60,7 @@
 	} else {
 		g.answer(w, c, o.answer)
 	}
+	return c
 }
 
 // callerStall is how long a caller may take to read a part of its answer, or to send the rest
@@ -62,15 +70,15 @@
 // finishBody hands the answer over and reads what is left of the body: another request may
 // follow it, and a connection that closes with unread bytes is reset, which takes back
 // answers on their way. net/http would read first and answer then.
-func finishBody(w http.ResponseWriter, r *http.Request) {
+func finishBody(w http.ResponseWriter, r *http.Request, c *call) {
 	rc := http.NewResponseController(w)
-	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(callerStall)) != nil {
-		panic(http.ErrAbortHandler) // the rest must not be taken for the next request
-	}
-	var err error
-	if r.Header.Get("Expect") == "" { // else the caller may send no body at all
-		_, err = io.CopyN(io.Discard, r.Body, maxUnread)
+	offered := r.Header.Get("Expect") != "" && !c.askedForBody()
+	if rc.Flush() != nil || offered || rc.SetReadDeadline(time.Now().Add(callerStall)) != nil {
+		// The rest must not be taken for the next request. The caller of a body that was
+		// not asked for sends none.
+		panic(http.ErrAbortHandler)
 	}
+	_, err := io.CopyN(io.Discard, r.Body, maxUnread)
 	if err != io.EOF && err != http.ErrBodyReadAfterClose && r.Body.Close() != nil {
 		panic(http.ErrAbortHandler)
 	}
