End a request at once whose body cannot be sent whole

Callers saw: no answer until the time of their route was over, when their body was over the limit and came without a length; the same for a body that was malformed, or that the rate for bodies left no time for.

Cause: the error of the goroutine that writes the body was looked at only after the answer. The answer did not come, because the server waited for the rest of the body.

Ruled out: errors of the connection, which the read of the answer meets as well.

Change: an error of the body ends the wait for the answer and is the cause of the failure, and the connection is reset. An answer that has arrived, or has begun, is read on and delivered; an interim answer is none. Where the rate leaves too little time, the reason is the deadline, which is no failure of the server.

Evidence: the gateway's TestBodyWithoutLengthOverTheLimitIsRefusedAtOnce, TestBodyThatFailsEndsItsRequestAtOnce and TestBodyThatFailsAfterAnInterimAnswerEndsItsRequest failed before and pass. TestAnswerThatHasBegunOutlastsItsBody and TestAnswerThatIsThereOutlastsItsBody passed before; they fail when the connection is reset without looking for the answer.

Conclusion: no request waits for a body that will not come. The gateway still counts a body that broke off as a failure of the server and sends an idempotent request again.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -127,6 +127,7 @@
 	req    *Request
 	ctx    context.Context
 	stop   func() bool // ends the watch of the context
+	wait   answerWait
 	// written is closed when the writer of the body is done; nil without a body.
 	written  chan struct{}
 	writeErr error
@@ -225,6 +226,7 @@
 	go func() {
 		defer close(x.written)
 		x.writeErr = x.writeBody()
+		x.bodyFailed(x.writeErr)
 	}()
 	return true, nil
 }
@@ -266,6 +268,9 @@
 	}
 	n, err := s.x.req.Body.Read(p)
 	s.read += int64(n)
+	if err != nil && err != io.EOF {
+		err = &BodyError{err: err}
+	}
 	if err == io.EOF || s.read == s.x.req.Length {
 		s.x.bodyRead.Store(true)
 	}
@@ -273,7 +278,7 @@
 	x.client.cfg.Link.Sent(egress.Bodies, n)
 	if limit != nil && n > 0 {
 		if waited := limit.WaitN(s.x.ctx, n); waited != nil {
-			return 0, waited // the request is over
+			return 0, &BodyError{err: waited, late: true} // the request is over, or would be
 		}
 	}
 	return n, err
@@ -290,7 +295,7 @@
 	}
 	n, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r}, *buf)
 	if err == nil && length >= 0 && n < length {
-		err = io.ErrUnexpectedEOF
+		err = &BodyError{err: io.ErrUnexpectedEOF}
 	}
 	return err
 }
@@ -332,6 +337,9 @@
 
 func (x *exchange) readOne() (*http.Response, error) {
 	for {
+		if err := x.awaitAnswer(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
 		if err != nil {
 			return nil, err
@@ -435,7 +443,13 @@
 		e.Detail = "a kept connection broke before the answer"
 	}
 	var timeout net.Error
+	var body *BodyError
 	switch {
+	case errors.As(err, &body):
+		e.Detail = "the body of the request broke off"
+		if body.late {
+			e.Status, e.Reason, e.Detail = http.StatusGatewayTimeout, verdict.ReasonDeadline, "the body cannot be sent in the time that is left"
+		}
 	case errors.Is(err, errForeign), errors.Is(err, errTooLong):
 		e.Reason, e.Detail = verdict.ReasonForeignAnswer, err.Error()
 	case errors.As(err, &timeout) && timeout.Timeout():
