Hold no place for an ask that comes after it was taken back

Callers saw: longer waits for permits: a place at a server was held for a request that was over, until 0.3 s after its caller would have given up.

Cause: an ask and its taking back may go over different connections, because a silent one is replaced, and the later message may come first. The queue ignored the end of an ask that it did not know, and granted the ask when it came.

Ruled out: asks that wait in the queue, which are taken out of it.

Change: a desk remembers for a second, as long as a host waits for an answer, which unknown asks were taken back, 4096 at most. Such an ask is not let in and takes none of the rate of a cold server.

Conclusion: an ask that is later than a second still holds its place until its time is over.

--- a/internal/daemon/permitdesk.go
+++ b/internal/daemon/permitdesk.go
@@ -26,6 +26,7 @@
 	mu     sync.Mutex
 	cold   *coldgate.Gate
 	queues map[coldgate.Key]*deskQueue
+	taken  *takenBack
 }
 
 type deskQueue struct {
@@ -35,7 +36,7 @@
 }
 
 func newPermitDesk(c clock.Clock) *permitDesk {
-	return &permitDesk{clock: c, cold: coldgate.New(), queues: map[coldgate.Key]*deskQueue{}}
+	return &permitDesk{clock: c, cold: coldgate.New(), queues: map[coldgate.Key]*deskQueue{}, taken: newTakenBack()}
 }
 
 func (d *permitDesk) queue(key coldgate.Key, slots int) *deskQueue {
@@ -70,6 +71,7 @@
 func (d *permitDesk) clean() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.taken.clean(d.clock.Now())
 	for key, q := range d.queues {
 		if q.Idle() && d.clock.Now().Sub(q.used) > queueForget {
 			delete(d.queues, key)
@@ -80,8 +82,12 @@
 // ask lets a request in, and waits for its turn for a moment.
 func (d *permitDesk) ask(ctx context.Context, key coldgate.Key, slots int, rate coldgate.Rate, r wire.PermitAsk) wire.PermitReply {
 	d.mu.Lock()
-	q := d.queue(key, slots)
 	now, id := d.clock.Now(), permit.ID(r.ID)
+	if d.taken.has(now, askKey{key, id}) {
+		d.mu.Unlock()
+		return wire.PermitReply{State: wire.PermitUnable, Reason: "the ask was taken back"}
+	}
+	q := d.queue(key, slots)
 	var state permit.State
 	var wait time.Duration
 	if r.Again {
@@ -137,10 +143,12 @@
 func (d *permitDesk) done(key coldgate.Key, r wire.PermitDone) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now, id := d.clock.Now(), permit.ID(r.ID)
 	q, ok := d.queues[key]
-	if !ok {
-		return // this host was not asked since its start
+	if !ok || !q.Done(id, time.Duration(r.TookMs)*time.Millisecond) {
+		d.taken.add(now, askKey{key, id})
+	}
+	if ok {
+		q.notify(q.Next(now))
 	}
-	q.Done(permit.ID(r.ID), time.Duration(r.TookMs)*time.Millisecond)
-	q.notify(q.Next(d.clock.Now()))
 }
--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -175,16 +175,16 @@
 }
 
 // Done records the end of a request that was sent, with its service time if a
-// server worked on it, or takes an ask back.
-func (q *Queue) Done(id ID, took time.Duration) {
+// server worked on it, or takes an ask back. It reports whether the ask was known.
+func (q *Queue) Done(id ID, took time.Duration) (known bool) {
 	if _, ok := q.sent[id]; ok {
 		delete(q.sent, id)
 		if took > 0 {
 			q.learn(took)
 		}
-		return
+		return true
 	}
-	q.remove(id)
+	return q.remove(id)
 }
 
 func (q *Queue) learn(took time.Duration) {
@@ -194,13 +194,14 @@
 	q.mean += time.Duration(serviceWeight * float64(took-q.mean))
 }
 
-func (q *Queue) remove(id ID) {
+func (q *Queue) remove(id ID) (known bool) {
 	for i, e := range q.waiting {
 		if e.ID == id {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // Next grants what may be sent and refuses what cannot be served in time any more.
