Look at callers behind a limit or TLS, and while a request is served

Callers saw: nothing. The look at a caller's connection did not work on the listeners of a Daemon: the connections of netutil.LimitListener and of TLS hide the one below them.

Change: callerconn.Limit replaces netutil.LimitListener with the same bound, and Context looks below TLS.

Evidence: the tests of the package, with and without TLS, over a limited listener.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
@@ -10,8 +11,11 @@
 // connKey is the key of a caller's connection in the context of its requests.
 type connKey struct{}
 
-// Context is the http.Server.ConnContext of a server whose handlers call Left.
+// Context is the http.Server.ConnContext of a server whose handlers call Left or Watch.
 func Context(ctx context.Context, c net.Conn) context.Context {
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			return context.WithValue(ctx, connKey{}, raw)
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,7 +20,7 @@
 }
 
 // serve begins to serve a request with unread bytes behind its head.
-func serve(t *testing.T, behind string) *served {
+func serve(t *testing.T, behind string, secured bool) *served {
 	s := &served{is: is.New(t)}
 	requests, ended := make(chan *http.Request), make(chan struct{})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -27,10 +28,17 @@
 		<-ended
 	}))
 	server.Config.ConnContext = Context
-	server.Start()
-	t.Cleanup(func() { close(ended); server.Close() })
+	server.Listener = Limit(server.Listener, 1)
 	var err error
-	s.caller, err = net.Dial("tcp", server.Listener.Addr().String())
+	if secured {
+		server.StartTLS()
+		config := server.Client().Transport.(*http.Transport).TLSClientConfig
+		s.caller, err = tls.Dial("tcp", server.Listener.Addr().String(), config)
+	} else {
+		server.Start()
+		s.caller, err = net.Dial("tcp", server.Listener.Addr().String())
+	}
+	t.Cleanup(func() { close(ended); server.Close() })
 	s.is.NoErr(err)
 	t.Cleanup(func() { s.caller.Close() })
 	fmt.Fprintf(s.caller, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n%s", behind)
@@ -45,11 +53,55 @@
 // connection, and against one that is taken for gone because it is silent.
 func TestCallerThatClosedItsConnectionHasLeft(t *testing.T) {
 	for _, behind := range []string{"", "0123456789", "0123456789GET / HTTP/1.1\r\n"} {
-		s := serve(t, behind)
-		s.is.True(!Left(s.request.Context()))
-		s.is.NoErr(s.caller.Close())
-		for end := time.Now().Add(soon); !Left(s.request.Context()); time.Sleep(time.Millisecond) {
-			s.is.True(time.Now().Before(end)) // the caller is taken for present
+		for _, secured := range []bool{false, true} {
+			s := serve(t, behind, secured)
+			ctx, cancel := Watch(s.request.Context())
+			defer cancel()
+			time.Sleep(2 * lookEvery)
+			s.is.NoErr(ctx.Err())
+			s.is.True(!Left(ctx))
+			s.is.NoErr(s.caller.Close())
+			select {
+			case <-ctx.Done():
+			case <-time.After(soon):
+				s.is.Fail() // the caller is taken for present
+			}
+			s.is.True(Left(ctx))
+		}
+	}
+}
+
+// Guards against more open connections than the limit, against places that are never free again
+// or freed twice, and against a listener that cannot be closed while all are taken.
+func TestLimitBoundsOpenConnections(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := Limit(inner, 1)
+	accepted, failed := make(chan net.Conn, 2), make(chan error, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				failed <- err
+				return
+			}
+			accepted <- c
 		}
+	}()
+	for range 3 {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+	}
+	for range 2 {
+		first := <-accepted
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(len(accepted), 0)
+		is.NoErr(first.Close())
+		is.True(first.Close() != nil)
 	}
+	defer (<-accepted).Close()
+	is.NoErr(l.Close())
+	is.Equal(<-failed, net.ErrClosed)
 }
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -11,7 +11,6 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/clock"
@@ -105,7 +104,7 @@
 
 // limited returns a listener with the bound on open connections.
 func (p *process) limited(name string) net.Listener {
-	return netutil.LimitListener(p.listeners[name], p.settings.Limits.Connections)
+	return callerconn.Limit(p.listeners[name], p.settings.Limits.Connections)
 }
 
 func (p *process) serveHTTP(name string, handler http.Handler, config *tls.Config) *http.Server {
