One watch over callers and one limit of connections for both request paths

The gateway and the entry path had a watch of their own each, and the gateway's listener a limit of its own. Both use internal/callerconn.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"net"
 	"syscall"
-	"time"
 )
 
 // connKey is the key of a caller's connection in the context of its requests.
@@ -30,24 +29,3 @@
 	raw, ok := ctx.Value(connKey{}).(syscall.RawConn)
 	return ok && ClosedByPeer(raw)
 }
-
-// watchInterval is how often it is looked whether the caller of a request has closed. Its work
-// is to end within half a second.
-const watchInterval = 200 * time.Millisecond
-
-// Watch calls end once the caller of the request with this context has closed its
-// connection, unless ctx ends before.
-func Watch(ctx context.Context, end context.CancelCauseFunc) {
-	if ctx.Value(connKey{}) == nil {
-		return
-	}
-	time.AfterFunc(watchInterval, func() {
-		switch {
-		case ctx.Err() != nil:
-		case Left(ctx):
-			end(context.Canceled)
-		default:
-			Watch(ctx, end)
-		}
-	})
-}
--- a/internal/callerconn/watch.go
+++ b/internal/callerconn/watch.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// lookEvery is how often Watch looks for the end of a connection.
-const lookEvery = 50 * time.Millisecond
+// lookEvery is how often Watch looks for the end of a connection. The work for a caller is to
+// end within half a second.
+const lookEvery = 200 * time.Millisecond
 
 // Watch returns the context of a request so that it also ends once its caller has left. The
 // handler cancels it at its end.
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -10,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/egress"
 )
 
@@ -20,11 +20,6 @@
 	net.Listener
 	timeouts func() (header, idle time.Duration)
 	link     *egress.Link
-	// slots bound the open connections.
-	slots chan struct{}
-
-	closing context.Context
-	close   context.CancelFunc
 
 	mu     sync.Mutex
 	conns  map[*callerConn]struct{}
@@ -33,21 +28,13 @@
 
 // newCallerListener returns a listener that keeps at most limit connections open.
 func newCallerListener(l net.Listener, limit int, timeouts func() (header, idle time.Duration), link *egress.Link) *callerListener {
-	cl := &callerListener{Listener: l, timeouts: timeouts, link: link, slots: make(chan struct{}, limit), conns: map[*callerConn]struct{}{}}
-	cl.closing, cl.close = context.WithCancel(context.Background())
-	return cl
+	return &callerListener{Listener: callerconn.Limit(l, limit), timeouts: timeouts, link: link, conns: map[*callerConn]struct{}{}}
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closing.Done():
-		return nil, net.ErrClosed
-	}
 	accepted, err := l.Listener.Accept()
 	if err != nil {
-		<-l.slots
 		return nil, err
 	}
 	c := &callerConn{Conn: l.link.Conn(accepted, egress.Answers), accepted: accepted, listener: l}
@@ -57,21 +44,6 @@
 	return c, nil
 }
 
-// Close implements net.Listener.
-func (l *callerListener) Close() error {
-	l.close()
-	return l.Listener.Close()
-}
-
-func (l *callerListener) closed(c *callerConn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, open := l.conns[c]; open {
-		delete(l.conns, c)
-		<-l.slots
-	}
-}
-
 // endIdle ends the connections on which no byte of a request was read, now and as others
 // become idle. http.Server.Shutdown would close one whose request was just read.
 func (l *callerListener) endIdle() {
@@ -198,7 +170,9 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.listener.closed(c)
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,12 +191,13 @@
 // lifetime returns the context of a request: it ends with ctx, with the caller's
 // connection, or with EndCalls.
 func (g *Gateway) lifetime(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancelWatch := callerconn.Watch(ctx)
 	ctx, cancel := context.WithCancelCause(ctx)
 	unwatch := context.AfterFunc(g.ended, func() { cancel(verdict.ErrHostStops) })
-	callerconn.Watch(ctx, cancel)
 	return ctx, func() {
 		unwatch()
 		cancel(nil)
+		cancelWatch()
 	}
 }
 
