Send nothing for callers of the entry path that have left

Callers saw: nothing; servers ran requests whose callers had left while they waited for an owner, a place or a connection, if their bodies are streamed (over 16 KB or of unknown length). Such a request also kept its place until its deadline.

Cause: net/http hears the end of a connection once the body was read whole, and a streamed body is read when an attempt sends it.

Ruled out: held bodies, which are read before the request waits: the test passes for them.

Change: forward.Send, by which both hops send, looks once more before it writes: the context of the request has not ended and its caller has not closed its connection. The handler watches its caller meanwhile. Bodies are still read as they are sent, so that a body that is refused need not be sent.

The servers of the tests now have the ConnContext that the daemon's servers have.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/agatestep/agatestep/internal/balance"
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/dispatch"
 	"github.com/agatestep/agatestep/internal/forward"
@@ -132,7 +133,10 @@
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
 	defer c.closeBody()
-	ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(h.cfg.Clock.Now()))
+	// The end of the connection stands behind a body that is not read before it is sent.
+	present, done := callerconn.Watch(r.Context())
+	defer done()
+	ctx, cancel := context.WithTimeout(present, c.deadline.Sub(h.cfg.Clock.Now()))
 	defer cancel()
 	resp, err := h.run(ctx, c)
 	if err != nil {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/dispatch"
 	"github.com/agatestep/agatestep/internal/service"
@@ -152,13 +153,21 @@
 			return &command.Result{Code: command.ResultOK}, nil
 		}})
 	h.entry = New(Config{Host: name, Tables: h.table.Load, SessionValidUntil: valid, Dispatcher: h.d, Limits: w.limits})
-	h.server, h.relay = httptest.NewServer(h.entry), httptest.NewServer(h.d.RelayHandler())
+	h.server, h.relay = newServer(h.entry), httptest.NewServer(h.d.RelayHandler())
 	ctx, cancel := context.WithCancel(context.Background())
 	w.t.Cleanup(func() { cancel(); h.server.CloseClientConnections(); h.relay.CloseClientConnections() })
 	go h.d.Run(ctx)
 	return h
 }
 
+// newServer serves as a host does.
+func newServer(handler http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnContext = callerconn.Context
+	server.Start()
+	return server
+}
+
 // change applies a delta to the tables of the named hosts.
 func (w *world) change(build func(b *table.Builder), hosts ...string) {
 	for _, name := range hosts {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/verdict"
 )
 
@@ -107,11 +108,13 @@
 }
 
 // Send sends req once over t. The check runs when a connection was obtained and
-// before anything is written; if it fails, nothing is written. The request must
+// before anything is written; if it fails, nothing is written. The same holds if the
+// request's context has ended or, where ctx comes from a server whose ConnContext is
+// callerconn.Context, the caller has left. The request must
 // have an absolute URL and, if any, a *Body. A returned error is a *verdict.Error.
 func Send(ctx context.Context, t http.RoundTripper, req *http.Request, check func() *verdict.Error) (*http.Response, error) {
 	preventReplay(req)
-	x := &exchange{check: check}
+	x := &exchange{ctx: ctx, check: check}
 	x.body, _ = req.Body.(*Body)
 	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
@@ -159,6 +162,7 @@
 func (emptyBody) Close() error                     { return nil }
 
 type exchange struct {
+	ctx      context.Context
 	check    func() *verdict.Error
 	body     *Body
 	conn     *conn
@@ -173,14 +177,25 @@
 	if x.conn != nil {
 		x.before = x.conn.carry(x.body)
 	}
-	if x.check == nil {
-		return
-	}
-	if x.refused = x.check(); x.refused != nil {
+	if x.refused = x.mayWrite(); x.refused != nil {
 		x.close()
 	}
 }
 
+// mayWrite is the last look before the request is written.
+func (x *exchange) mayWrite() *verdict.Error {
+	switch {
+	case x.ctx.Err() != nil:
+		reason, detail := verdict.Ended(x.ctx)
+		return verdict.Unavailable(reason, detail)
+	case callerconn.Left(x.ctx):
+		return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away before the request was sent")
+	case x.check == nil:
+		return nil
+	}
+	return x.check()
+}
+
 func (x *exchange) close() {
 	if x.conn != nil {
 		x.conn.seal()
