Send nothing for relayed requests that were given up

Callers saw: nothing; servers ran requests that the entry host had given up, with their callers, while they waited at the dispatcher. Such a request kept its place in the queue of its server until its deadline.

Cause: the dispatcher asks for the body of a relayed request when it sends it on, so net/http does not hear the end of the connection before.

Ruled out: requests without a body, for which the test passes.

TestDispatcherDoesNotWaitForRequestsThatWereGivenUp fails without the watch (2 s instead of 0.5 s).

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/forward"
 	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -27,7 +28,10 @@
 		// Lets an early answer pass while the body is still being sent.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	resp, failure := h.d.Do(in.Context(), r)
+	// The end of the connection stands behind a body that is not read before it is sent on.
+	ctx, cancel := callerconn.Watch(in.Context())
+	defer cancel()
+	resp, failure := h.d.Do(ctx, r)
 	if failure != nil {
 		forward.WriteRefusal(w, in, forward.AsError(failure), id, in.ContentLength != 0)
 		return
--- a/internal/entry/departed_test.go
+++ b/internal/entry/departed_test.go
@@ -32,3 +32,19 @@
 	w.until("ended", func() bool { return inFlight() == 0 })
 	w.True(time.Since(left) <= leaveWithin)
 }
+
+// An entry host gives a relayed request up while it waits at the dispatcher. Guards against a
+// dispatcher that keeps a place in the queue of a server for it.
+func TestDispatcherDoesNotWaitForRequestsThatWereGivenUp(t *testing.T) {
+	w := newWorld(t, nil)
+	c, err := net.Dial("tcp", w.hosts["h1"].relay.Listener.Addr().String())
+	w.NoErr(err)
+	fmt.Fprintf(c, "POST /desk/x HTTP/1.1\r\nHost: x\r\nX-Key: k\r\n%s: r\r\n%s: desk\r\n%s: b2\r\n%s: 2000\r\n%s: 1\r\n%s: 8\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n",
+		wire.HeaderRequestID, wire.HeaderService, wire.HeaderBackend, wire.HeaderTimeoutMs, wire.HeaderHash, wire.HeaderEpoch, 20<<10)
+	d := w.hosts["h1"].d
+	w.until("in flight", func() bool { return d.InFlight() == 1 })
+	left := time.Now()
+	w.NoErr(c.Close())
+	w.until("ended", func() bool { return d.InFlight() == 0 })
+	w.True(time.Since(left) <= leaveWithin)
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -153,7 +153,7 @@
 			return &command.Result{Code: command.ResultOK}, nil
 		}})
 	h.entry = New(Config{Host: name, Tables: h.table.Load, SessionValidUntil: valid, Dispatcher: h.d, Limits: w.limits})
-	h.server, h.relay = newServer(h.entry), httptest.NewServer(h.d.RelayHandler())
+	h.server, h.relay = newServer(h.entry), newServer(h.d.RelayHandler())
 	ctx, cancel := context.WithCancel(context.Background())
 	w.t.Cleanup(func() { cancel(); h.server.CloseClientConnections(); h.relay.CloseClientConnections() })
 	go h.d.Run(ctx)
