Serve a request that began behind another as a stop ends idle connections

Callers saw: connections that were reset without an answer at the end of a planned stop, and a request that was ended as if its caller had left. Connections without a request could hold a stop up until its end.

Cause: what a connection has read is not what the server has taken. The first byte of the next request is read while the one before is served, and the end of that one made the connection count as idle. A request that was read whole with the one before left it idle while it was served, so that the end of idle connections cancelled it. A deadline that the server set beside the end, or after it on a new connection, undid the end, because whether connections end was asked before the lock.

Ruled out: connections that come after idle ones were ended; they are served.

Change: a byte that net/http reads to notice the end of the connection belongs to the next request; a connection is busy while a request is served, and from the deadline for its headers on; whether connections end is asked under the connection's lock; an end lasts until a byte was read.

Conclusion: one case remains by reading: up to three bytes of a request that were read with the one before, whose rest is not there yet. A request that has arrived and of which no byte was read ends with its connection, as before.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -82,8 +82,11 @@
 	// idle is set until the next deadline was set: it is that of an idle connection.
 	idle bool
 	// busy is set once a byte of the next request was read.
-	busy  bool
-	ended bool // by endIfIdle
+	busy bool
+	// serving is set while a request is served, ahead once a byte of the one behind it
+	// was read, kept once a request was answered.
+	serving, ahead, kept bool
+	ended                bool // by endIfIdle
 }
 
 // idleMargin is how much longer than stated a connection is kept, for requests
@@ -99,8 +102,12 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.idle = state == http.StateIdle
-	if cc.idle {
-		cc.busy = false
+	cc.serving = state == http.StateActive
+	switch state {
+	case http.StateIdle:
+		cc.busy, cc.ahead, cc.kept = cc.ahead, false, true
+	case http.StateActive:
+		cc.busy = true // all of the request may have been read with the one before
 	}
 }
 
@@ -108,17 +115,22 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.began()
+		c.began(len(p))
 	}
 	return n, err
 }
 
+// watchBytes is what an http.Server reads at once while it serves a request whose body was read,
+// to notice the end of the connection. It belongs to the next request.
+const watchBytes = 1
+
 // began notes that a request began to arrive. If the connection was ended meanwhile, the
 // request came first.
-func (c *callerConn) began() {
+func (c *callerConn) began(asked int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
+	c.ahead = c.serving && asked == watchBytes
 	if c.ended {
 		c.ended = false
 		header, _ := c.listener.timeouts()
@@ -145,18 +157,21 @@
 }
 
 // SetReadDeadline implements net.Conn. The server sets a deadline in the future
-// for an idle connection and for the headers of a request only.
+// for an idle connection and for the headers of a request only; on a kept connection
+// for the headers once some of their bytes were read.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	ending := c.listener.isEnding()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	wasIdle := c.idle
 	if t.After(now) {
 		c.idle = false
+		if c.kept && !wasIdle {
+			c.busy, c.ended = true, false
+		}
 		header, idle := c.listener.timeouts()
 		switch {
-		case wasIdle && ending && !c.busy:
+		case !c.busy && (c.ended || wasIdle && c.listener.isEnding()):
 			c.end()
 			return nil
 		case wasIdle && idle > 0:
