Bound the wait for a small body of the entry path

Callers saw: no answer when a small body (up to 16 KB) stalled on its way, neither by the deadline of the request nor as its caller left. Refusals, such as 404 or 429, waited for the rest of a small body as well.

Cause: the whole body was read before the request got a context with its deadline, by a read without a bound. net/http reads the rest of a body before it sends an answer unless the handler asks it not to.

Change: the end of the request's context ends the read; the caller is told 503 not-run, reason deadline. Answers no longer wait for the body, small ones included. After a refusal the rest may come for 1 s, as for large bodies, and the connection is kept if it does.

Evidence: TestStalledSmallBodyIsAnsweredByItsDeadline and the three tests of stalled_test.go fail without the change and pass.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"io"
 	"net"
@@ -46,8 +47,8 @@
 	return rand.Text()
 }
 
-// read checks the request of a caller and finds its service and key.
-func (h *Handler) read(w http.ResponseWriter, r *http.Request, id string) (*call, *verdict.Error) {
+// read checks the head of a caller's request and finds its service and key.
+func (h *Handler) read(r *http.Request, id string) (*call, *verdict.Error) {
 	if err := h.checkShape(r); err != nil {
 		return nil, err
 	}
@@ -73,7 +74,7 @@
 	}
 	c.deadline = h.cfg.Clock.Now().Add(timeout)
 	c.header = callerHeader(r)
-	return c, h.readBody(w, r, c)
+	return c, nil
 }
 
 func (h *Handler) checkShape(r *http.Request) *verdict.Error {
@@ -120,7 +121,7 @@
 }
 
 // readBody holds a small body and leaves a large one to be streamed.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) *verdict.Error {
+func (h *Handler) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) *verdict.Error {
 	limit := h.cfg.Limits.BodyBytes
 	if own := c.file.MaxBodyBytes; own > 0 {
 		limit = min(limit, own)
@@ -135,7 +136,11 @@
 		c.stream = func() *forward.Body { return forward.StreamedBody(w, body) }
 		return nil
 	}
-	held, err := io.ReadAll(r.Body)
+	held, err := readWhole(ctx, w, r)
+	if err != nil && ctx.Err() != nil {
+		reason, detail := verdict.Ended(ctx)
+		return verdict.Unavailable(reason, detail+" before the whole body came")
+	}
 	if err != nil {
 		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body broke off")
 	}
@@ -143,6 +148,22 @@
 	return nil
 }
 
+// readWhole reads the body of r. The end of ctx ends a read that waits for the caller.
+func readWhole(ctx context.Context, w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	rc, past, interrupted := http.NewResponseController(w), time.Unix(1, 0), make(chan struct{})
+	keep := context.AfterFunc(ctx, func() {
+		// An error means that the connection cannot be read any more, so no read is pending.
+		_ = rc.SetReadDeadline(past)
+		close(interrupted)
+	})
+	held, err := io.ReadAll(r.Body)
+	if !keep() {
+		<-interrupted
+		_ = rc.SetReadDeadline(time.Time{}) // a connection that is closed has none
+	}
+	return held, err
+}
+
 func (c *call) hasBody() bool { return c.held != nil || c.stream != nil }
 
 // attemptBody returns the body for one attempt; it is nil when there is none.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,27 +117,31 @@
 		return
 	}
 	h.counters.Requests.Add(1)
+	if r.ContentLength != 0 {
+		// Lets an answer pass while the body is still being sent.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	id := requestID(r)
 	if err := h.begin(); err != nil {
 		h.refuse(w, r, err, id)
 		return
 	}
 	defer h.end()
-	c, err := h.read(w, r, id)
+	c, err := h.read(r, id)
 	if err != nil {
 		h.refuse(w, r, err, id)
 		return
 	}
-	if c.hasBody() {
-		// Lets an early answer pass while the body is still being sent.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
 	defer c.closeBody()
 	// The end of the connection stands behind a body that is not read before it is sent.
 	present, done := callerconn.Watch(r.Context())
 	defer done()
 	ctx, cancel := context.WithTimeout(present, c.deadline.Sub(h.cfg.Clock.Now()))
 	defer cancel()
+	if err := h.readBody(ctx, w, r, c); err != nil {
+		h.refuse(w, r, err, id)
+		return
+	}
 	resp, err := h.run(ctx, c)
 	if err != nil {
 		h.refuse(w, r, err, id)
@@ -151,6 +155,9 @@
 	h.counters.countRefusal(e)
 	held := r.ContentLength >= 0 && r.ContentLength <= h.cfg.Limits.ReplayBytes
 	forward.WriteRefusal(w, r, e, id, !held)
+	if held {
+		forward.FinishBody(w, r)
+	}
 }
 
 // deliver copies the answer to the caller.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -79,3 +79,14 @@
 	defer buffers.Put(buf)
 	_, _ = io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{r.Body}, *buf)
 }
+
+// FinishBody sends the answer and reads what is left of a small request body, so that the
+// connection can serve another request; net/http would do it in the other order and without
+// a bound. It panics with http.ErrAbortHandler when the rest does not come.
+func FinishBody(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(drainTime)) != nil || r.Body.Close() != nil {
+		panic(http.ErrAbortHandler) // the rest must not be taken for the next request
+	}
+	_ = rc.SetReadDeadline(time.Time{}) // a connection that is closed has none
+}
