Answer every request before a stop of the entry path ends

Callers saw: connections that ended without an answer at the end of a stop (shutdown.timeout) or at a second signal, although it was known whether the request may have run: a server was silent, or the key had no owner. Entry hosts saw the same of relayed requests.

Cause: Shutdown of the entry handler and of the dispatcher waited, and nothing ended a request but its answer, its caller, its deadline or the end of the process.

Ruled out: the servers' Shutdown, which waits for connections with requests as long as it is given time.

Refusals are flushed by their handler, because a stop closes connections once the handlers have ended. The daemon waits for callers' and relayed requests at the same time, so that neither takes the other's time for an answer.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/agatestep/agatestep/internal/admin"
 	"github.com/agatestep/agatestep/internal/logging"
+	"github.com/agatestep/agatestep/internal/stop"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -87,11 +88,13 @@
 	if err := d.session.Close(ctx); err != nil {
 		d.logger.Warn("session not handed over; the standby dispatchers take over when it expires", logging.Error(err))
 	}
-	err := errors.Annotate(d.entry.Shutdown(ctx), "requests of callers")
-	if drained := d.dispatcher.Shutdown(ctx); err == nil {
-		err = errors.Annotate(drained, "requests of other hosts")
-	}
+	err := d.finishCalls(ctx)
 	<-left.Done() // connections that arrive until here are answered
+	if hard.Err() != nil {
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(hard), stop.AnswerTime)
+		defer cancel()
+		d.cutCalls(ctx)
+	}
 	d.stopServers(ctx)
 	if d.replica != nil {
 		d.replica.stop()
@@ -106,7 +109,30 @@
 func (d *Daemon) finishCallers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Shutdown.Timeout/2)
 	defer cancel()
-	_ = d.entry.Shutdown(ctx) // waited for again after the hand-over
+	_ = d.entry.Await(ctx) // waited for again after the hand-over
+}
+
+// finishCalls waits for the requests of callers and of other hosts. Those that have no answer
+// near the end of the time are answered with what is known of them.
+func (d *Daemon) finishCalls(ctx context.Context) error {
+	callers := make(chan error, 1)
+	go func() { callers <- d.entry.Shutdown(ctx) }()
+	relayed := d.dispatcher.Shutdown(ctx)
+	if err := <-callers; err != nil {
+		return errors.Annotate(err, "requests of callers")
+	}
+	return errors.Annotate(relayed, "requests of other hosts")
+}
+
+// cutCalls answers the requests that are left when a stop is cut short.
+func (d *Daemon) cutCalls(ctx context.Context) {
+	d.entry.EndCalls()
+	d.dispatcher.EndCalls()
+	for _, err := range []error{d.entry.Await(ctx), d.dispatcher.Await(ctx)} {
+		if err != nil {
+			d.logger.Warn("requests cut off by the end of the stop", logging.Error(err))
+		}
+	}
 }
 
 // handRolesTimeout bounds the hand-over of dispatcher roles before the session
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/command"
+	"github.com/agatestep/agatestep/internal/stop"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -73,6 +74,7 @@
 	cfg    Config
 	ctx    context.Context // ends when Run ends
 	cancel context.CancelFunc
+	calls  *stop.Calls
 
 	mu       sync.Mutex
 	servers  map[serverKey]*server
@@ -93,7 +95,7 @@
 func New(cfg Config) *Dispatcher {
 	cfg.setDefaults()
 	d := &Dispatcher{cfg: cfg, applied: table.Empty(), servers: map[serverKey]*server{}, joining: map[serverKey]bool{},
-		typical: latencies{byService: map[string]time.Duration{}}, idle: make(chan struct{})}
+		typical: latencies{byService: map[string]time.Duration{}}, idle: make(chan struct{}), calls: stop.NewCalls()}
 	close(d.idle)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.graceFrom = cfg.Clock.Now()
@@ -211,18 +213,27 @@
 }
 
 // Shutdown refuses new requests and waits for those in flight. Leases are
-// renewed meanwhile, because requests in flight need them.
-func (d *Dispatcher) Shutdown(ctx context.Context) error {
+// renewed meanwhile, because requests in flight need them. It calls EndCalls shortly
+// before the deadline of ctx.
+func (d *Dispatcher) Shutdown(ctx context.Context) error { return d.calls.Finish(ctx, d.drained()) }
+
+// Await refuses new requests and waits for those in flight.
+func (d *Dispatcher) Await(ctx context.Context) error { return stop.Await(ctx, d.drained()) }
+
+// EndCalls refuses new requests and ends those in flight that have no answer yet. Each of them
+// is answered with what is known of it.
+func (d *Dispatcher) EndCalls() {
+	d.drained()
+	d.calls.End()
+}
+
+// drained refuses new requests and returns a channel that is closed when those in flight
+// have ended.
+func (d *Dispatcher) drained() <-chan struct{} {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.closing = true
-	idle := d.idle
-	d.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return d.idle
 }
 
 func (d *Dispatcher) sessionValid(now time.Time) bool {
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -22,8 +22,10 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	ctx, answered := d.calls.Until(ctx)
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(d.cfg.Clock.Now()))
 	end := func() {
+		answered()
 		r.closeBody()
 		cancel()
 		d.end()
@@ -34,6 +36,10 @@
 		return nil, err
 	}
 	resp.Body.(*answerBody).onEnd(end)
+	if !answered() {
+		_ = resp.Body.Close() // it breaks off with the call
+		return nil, verdict.EndedAnswer(ctx)
+	}
 	return resp, nil
 }
 
@@ -175,10 +181,8 @@
 
 // ended returns the refusal of a request whose context ended before it was sent.
 func ended(ctx context.Context) *verdict.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return verdict.Unavailable(verdict.ReasonDeadline, "the deadline passed before the request was sent")
-	}
-	return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away before the request was sent")
+	reason, detail := verdict.Ended(ctx)
+	return verdict.Unavailable(reason, detail+" before the request was sent")
 }
 
 // pump lets queued requests run or expire; s.mu is held.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/dispatch"
 	"github.com/agatestep/agatestep/internal/forward"
+	"github.com/agatestep/agatestep/internal/stop"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
@@ -81,6 +82,7 @@
 	retries  *balance.Budget
 	hedges   *balance.Budget
 	counters *Counters
+	calls    *stop.Calls
 
 	mu       sync.Mutex
 	closing  bool
@@ -102,7 +104,7 @@
 	if cfg.Counters == nil {
 		cfg.Counters = &Counters{}
 	}
-	h := &Handler{cfg: cfg, counters: cfg.Counters, idle: make(chan struct{}), choosers: map[string]*chooser{},
+	h := &Handler{cfg: cfg, counters: cfg.Counters, calls: stop.NewCalls(), idle: make(chan struct{}), choosers: map[string]*chooser{},
 		relay:   forward.NewTransport(forward.TransportConfig{DialTimeout: relayDialTimeout, IdleTimeout: time.Minute, TLS: cfg.RelayTLS}),
 		retries: balance.NewBudget(cfg.Limits.RetryRatio, cfg.Limits.Burst),
 		hedges:  balance.NewBudget(cfg.Limits.HedgeRatio, cfg.Limits.Burst)}
@@ -134,7 +136,9 @@
 	}
 	defer c.closeBody()
 	// The end of the connection stands behind a body that is not read before it is sent.
-	present, done := callerconn.Watch(r.Context())
+	stoppable, answered := h.calls.Until(r.Context())
+	defer answered() // of a request that is refused
+	present, done := callerconn.Watch(stoppable)
 	defer done()
 	ctx, cancel := context.WithTimeout(present, c.deadline.Sub(h.cfg.Clock.Now()))
 	defer cancel()
@@ -143,6 +147,10 @@
 		return
 	}
 	resp, err := h.run(ctx, c)
+	if err == nil && !answered() {
+		_ = resp.Body.Close() // it breaks off with the call
+		err = verdict.EndedAnswer(ctx)
+	}
 	if err != nil {
 		h.refuse(w, r, err, id)
 		return
@@ -233,17 +241,30 @@
 	h.closing = true
 }
 
-// Shutdown calls StartShutdown and waits for the requests in flight.
-func (h *Handler) Shutdown(ctx context.Context) error {
+// Await calls StartShutdown and waits for the requests in flight.
+func (h *Handler) Await(ctx context.Context) error { return stop.Await(ctx, h.drained()) }
+
+// EndCalls ends the requests in flight that have no answer yet. Each of them is answered with
+// what is known of it.
+func (h *Handler) EndCalls() {
 	h.StartShutdown()
-	h.mu.Lock()
-	idle := h.idle
-	h.mu.Unlock()
-	select {
-	case <-idle:
+	h.calls.End()
+}
+
+// Shutdown calls StartShutdown and waits for the requests in flight. It calls EndCalls
+// shortly before the deadline of ctx.
+func (h *Handler) Shutdown(ctx context.Context) error {
+	err := h.calls.Finish(ctx, h.drained())
+	if err == nil {
 		h.relay.CloseIdleConnections()
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return err
+}
+
+// drained returns a channel that is closed when the requests in flight have ended.
+func (h *Handler) drained() <-chan struct{} {
+	h.StartShutdown()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.idle
 }
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -73,11 +73,19 @@
 		case <-timer.C:
 			return keyedRoute(h.cfg.Tables(), c.file.Service, c.hash), nil
 		case <-ctx.Done():
-			return old, verdict.Unavailable(verdict.ReasonNoBackend, "no backend server became available before the deadline")
+			return old, noBackend(ctx)
 		}
 	}
 }
 
+// noBackend is the refusal of a request whose context ended while it waited for a route.
+func noBackend(ctx context.Context) *verdict.Error {
+	if reason, detail := verdict.Ended(ctx); reason != verdict.ReasonDeadline {
+		return verdict.Unavailable(reason, detail)
+	}
+	return verdict.Unavailable(verdict.ReasonNoBackend, "no backend server became available before the deadline")
+}
+
 func (h *Handler) startWaiting() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -63,7 +63,10 @@
 	_, _ = w.Write(body)
 	if unread {
 		Drain(w, r)
+		return
 	}
+	// A stop ends connections once their handlers have ended. An error means that the caller is gone.
+	_ = http.NewResponseController(w).Flush()
 }
 
 // Drain sends the answer and reads the rest of the request body for a while.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -220,14 +220,8 @@
 	case x.obtained:
 		e.Reason, e.Detail = verdict.ReasonConnectionLost, "connection broke before the request was written"
 	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		e.Reason, e.Detail = verdict.ReasonDeadline, "deadline passed before the answer"
-		if written {
-			e.Status = http.StatusGatewayTimeout
-		}
-	case ctx.Err() != nil:
-		e.Reason, e.Detail = verdict.ReasonCancelled, "caller went away"
+	if ctx.Err() != nil {
+		e.End(ctx)
 	}
 	return e
 }
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -39,6 +39,8 @@
 	ids    *identities // nil without TLS
 	// uploads are the results of the uploads that were begun.
 	uploads []chan string
+	// held are the results of the requests that were begun.
+	held []chan string
 	// gapsFrom is the end of the last span that figures were printed for.
 	gapsFrom time.Time
 }
--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -134,6 +135,59 @@
 	}
 }
 
+// cmdHoldRequest begins a request and waits until a host has sent it on: hold-request HOST KEY
+func cmdHoldRequest(ts *testscript.TestScript, _ bool, args []string) {
+	c, done := of(ts), make(chan string, 1)
+	sent := func() int {
+		var vars struct {
+			Entry struct{ Local, Relayed int } `json:"agatestep_entry"`
+		}
+		ts.Check(c.get(args[0], "/debug/vars", &vars))
+		return vars.Entry.Local + vars.Entry.Relayed
+	}
+	before := sent()
+	c.held = append(c.held, done)
+	go func() {
+		status, v, body := c.send(args[0], http.MethodPost, args[1], "", time.Minute)
+		done <- fmt.Sprintf("%d %s: %s", status, v, body)
+	}()
+	c.until(ts, "attempt at the request", func() bool { return sent() > before })
+}
+
+// cmdCutShort stops hosts and sends a second signal once each has begun to stop: cut-short HOST...
+func cmdCutShort(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts)
+	for _, host := range args {
+		ts.Check(c.proc(ts, host).cmd.Process.Signal(syscall.SIGTERM))
+		c.until(ts, "the stop of "+host, func() bool {
+			response, err := http.Get("http://" + c.address(host, 7100) + entry.HealthPath)
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusServiceUnavailable
+		})
+		ts.Check(c.proc(ts, host).cmd.Process.Signal(syscall.SIGTERM))
+		select {
+		case <-c.proc(ts, host).done:
+		case <-time.After(patience):
+			ts.Fatalf("%s did not end", host)
+		}
+	}
+}
+
+// cmdEndRequests demands of all requests that were begun that their callers were told whether
+// they may have run.
+func cmdEndRequests(ts *testscript.TestScript, _ bool, _ []string) {
+	for i, done := range of(ts).held {
+		got := <-done
+		if !strings.HasPrefix(got, "503 not-run: ") && !strings.HasPrefix(got, "504 may-have-run: ") {
+			ts.Fatalf("request %d ended with %s", i, got)
+		}
+		ts.Logf("request %d: %s", i, got)
+	}
+}
+
 func failedVerdict(err error) verdict.Verdict {
 	if strings.Contains(err.Error(), "connection refused") {
 		return verdict.NotRun
--- a/internal/verdict/ended.go
+++ b/internal/verdict/ended.go
@@ -22,6 +22,14 @@
 	return ReasonCancelled, "the caller went away"
 }
 
+// EndedAnswer returns the error for a request whose answer was given up because its context
+// ended.
+func EndedAnswer(ctx context.Context) *Error {
+	e := &Error{Verdict: MayHaveRun, Status: http.StatusBadGateway}
+	e.End(ctx)
+	return e
+}
+
 // End names the end of the request's context as what made it fail. The caller of a request
 // that may have run is told that there was no answer in time.
 func (e *Error) End(ctx context.Context) {
