Answers that have begun go on when a stop ends the other requests

Callers saw: an answer of over 64 KB broken off 0.6 s before the end of the process, although the rest of it came in time.

Cause: the end of calls ended all of them, answered or not.

Change: the gateway uses the rule of package stop, as the entry path does, and its own copy of it is gone. A call whose answer has begun is no longer ended.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,9 +15,9 @@
 	"github.com/agatestep/agatestep/internal/clock"
 	"github.com/agatestep/agatestep/internal/egress"
 	"github.com/agatestep/agatestep/internal/permit"
+	"github.com/agatestep/agatestep/internal/stop"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
-	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -120,10 +120,8 @@
 	bodyBytes atomic.Int64
 	stopping  atomic.Bool
 	closing   atomic.Bool
-	// ended ends with EndCalls.
-	ended    context.Context
-	endCalls context.CancelFunc
-	lastSeen atomic.Int64 // Unix nanoseconds of the last request
+	calls     *stop.Calls
+	lastSeen  atomic.Int64 // Unix nanoseconds of the last request
 }
 
 // serverKey names a process of a backend server.
@@ -149,7 +147,7 @@
 		services: map[string]*serviceTimes{}, marks: map[serverKey]mark{}, reach: permit.NewReach(),
 		changed: make(chan struct{}), confirmed: make(chan struct{}), loads: newLoads(),
 	}
-	g.ended, g.endCalls = context.WithCancel(context.Background())
+	g.calls = stop.NewCalls()
 	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, MaxDialTimeout: maxDialTimeout, UserTimeout: userTimeout, MaxUserTimeout: maxUserTimeout,
 		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, Link: cfg.Link, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
 	return g
@@ -181,24 +179,19 @@
 // the process does.
 func (g *Gateway) StopTaking() { g.closing.Store(true) }
 
-// EndCalls ends the requests that are being served, because the process ends. Each of them
+// EndCalls ends the requests that have no answer yet, because the process ends. Each of them
 // is answered with what is known of it.
 func (g *Gateway) EndCalls() {
 	g.closing.Store(true)
-	g.endCalls()
+	g.calls.End()
 }
 
 // lifetime returns the context of a request: it ends with ctx, with the caller's
-// connection, or with EndCalls.
-func (g *Gateway) lifetime(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancelWatch := callerconn.Watch(ctx)
-	ctx, cancel := context.WithCancelCause(ctx)
-	unwatch := context.AfterFunc(g.ended, func() { cancel(verdict.ErrHostStops) })
-	return ctx, func() {
-		unwatch()
-		cancel(nil)
-		cancelWatch()
-	}
+// connection, or with EndCalls unless answered was called before.
+func (g *Gateway) lifetime(ctx context.Context) (life context.Context, answered func() bool, done context.CancelFunc) {
+	ctx, done = callerconn.Watch(ctx)
+	ctx, answered = g.calls.Until(ctx)
+	return ctx, answered, done
 }
 
 // Quiet reports how long ago the last request came.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -39,7 +39,7 @@
 		g.refuse(w, r, nil, verdict.Unavailable(verdict.ReasonShutdown, "this host is stopping"), minRetryAfter)
 		return nil
 	}
-	ctx, done := g.lifetime(r.Context())
+	ctx, answered, done := g.lifetime(r.Context())
 	defer done()
 	r = r.WithContext(ctx)
 	g.awaitConfiguration(r.Context())
@@ -58,6 +58,7 @@
 	if o := g.run(ctx, c); o.failure != nil {
 		g.refuse(w, r, c, o.failure, o.retryAfter)
 	} else {
+		answered()
 		g.answer(w, c, o.answer)
 	}
 	return c
