Uploads are read no faster than they may be sent

Callers saw: lookups and orders later than before on a host whose link carries more uploads than it can, since bodies are read as they arrive.

Change: 16 KB are read of a body that no attempt sends yet, which is all of an order, and bodies together are read at the rate at which they may be sent. The end of a caller behind unread bytes is found by the look at its connection.

TestUploadsLeaveTheLinkToSmallRequests has the load without a network.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,13 +1,22 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"sync"
 	"sync/atomic"
+
+	"golang.org/x/time/rate"
+
+	"github.com/agatestep/agatestep/internal/upstream"
 )
 
 // fillBytes is how much of a body is read at once.
-const fillBytes = 8 << 10
+const fillBytes = upstream.BodyChunk
+
+// maxWaiting is how much is read of a body that no attempt sends yet, in bytes: whole orders, whose
+// callers' ends stand behind them, but not uploads, which take the host's link from others.
+const maxWaiting = 16 << 10
 
 // maxShared bounds what all bodies of a host keep together, in bytes. Beyond it, bodies are read
 // as fast as attempts send them.
@@ -24,9 +33,15 @@
 	begin  sync.Once
 	begun  atomic.Bool // set once the source is read
 	limit  int         // bytes that are kept at most
+	// rate bounds the bytes of bodies that are read in a second; nil means no bound.
+	rate *rate.Limiter
 	// shared counts what all bodies of the host keep; nil means no common bound.
 	shared *atomic.Int64
 
+	// over ends with close.
+	over context.Context
+	stop context.CancelFunc
+
 	mu      sync.Mutex
 	changed *sync.Cond
 	// kept are the bytes from offset start to offset end.
@@ -41,6 +56,7 @@
 func newReplayBody(source io.Reader, limit int) *replayBody {
 	b := &replayBody{source: source, limit: limit}
 	b.changed = sync.NewCond(&b.mu)
+	b.over, b.stop = context.WithCancel(context.Background())
 	return b
 }
 
@@ -54,7 +70,7 @@
 			defer fillBuffers.Put(part)
 			for {
 				n, err := b.source.Read(*part)
-				if !b.add((*part)[:n], err) {
+				if !b.add((*part)[:n], err) || b.pause(n) != nil {
 					return
 				}
 			}
@@ -62,6 +78,14 @@
 	})
 }
 
+// pause waits until the rate allows to read on after n bytes.
+func (b *replayBody) pause(n int) error {
+	if b.rate == nil || n == 0 {
+		return nil
+	}
+	return b.rate.WaitN(b.over, n)
+}
+
 // add takes what was read from the source and reports whether to read on.
 func (b *replayBody) add(p []byte, err error) bool {
 	b.mu.Lock()
@@ -91,7 +115,11 @@
 // full reports whether n more bytes are too many to keep. The caller holds b.mu, as for keep
 // and drop.
 func (b *replayBody) full(n int) bool {
-	return len(b.kept) > 0 && (len(b.kept)+n > b.limit || b.shared != nil && b.shared.Load()+int64(n) > maxShared)
+	limit := b.limit
+	if b.newest == nil {
+		limit = min(limit, maxWaiting)
+	}
+	return len(b.kept) > 0 && (len(b.kept)+n > limit || b.shared != nil && b.shared.Load()+int64(n) > maxShared)
 }
 
 func (b *replayBody) keep(p []byte) {
@@ -120,6 +148,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
+	b.stop()
 	b.drop()
 	b.changed.Broadcast()
 }
@@ -141,6 +170,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.newest = a
+	b.changed.Broadcast()
 	return a
 }
 
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -12,9 +12,11 @@
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -78,6 +80,61 @@
 	is.Equal(shared.Load(), int64(0))
 }
 
+// counting counts the bytes that are read of a body.
+type counting struct {
+	io.Reader
+	read atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c *counting) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// More uploads than a host's link carries. Guards against uploads that nobody sends yet and that fill
+// the link towards the host, so that orders and lookups are late, and against bodies that are
+// read faster than the host may send them.
+func TestUploadsLeaveTheLinkToSmallRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const perSecond, upload, uploads = 300 << 10, 60 << 10, 40
+		limit := rate.NewLimiter(perSecond, fillBytes)
+		var sources []*counting
+		var bodies []*replayBody
+		total := func() (n int64) {
+			for _, s := range sources {
+				n += s.read.Load()
+			}
+			return n
+		}
+		for range uploads {
+			source := &counting{Reader: bytes.NewReader(make([]byte, upload))}
+			b := newReplayBody(source, maxKept)
+			b.rate = limit
+			b.fill()
+			sources, bodies = append(sources, source), append(bodies, b)
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.True(total() <= uploads*(maxWaiting+fillBytes)) // none is sent
+		waiting := total()
+		for _, b := range bodies {
+			go func() { _, _ = io.Copy(io.Discard, b.reader()) }() // ends with the body
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.True(total()-waiting <= perSecond+(uploads+1)*fillBytes)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(total(), int64(uploads*upload))
+		for _, b := range bodies {
+			b.close()
+		}
+	})
+}
+
 // Guards against readers that wait for ever once the request is over.
 func TestEndOfARequestEndsItsReaders(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -99,7 +99,7 @@
 			source = http.MaxBytesReader(nil, r.Body, l.BodyBytes)
 		}
 		c.body = newReplayBody(source, maxKept)
-		c.body.shared = &g.bodyBytes
+		c.body.shared, c.body.rate = &g.bodyBytes, g.bodyReads
 		if r.Header.Get("Expect") == "" {
 			c.body.fill() // else the caller sends no body before an attempt asks for it
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,8 @@
 	// hosts is the largest number of entry hosts that this process has seen.
 	hosts    int
 	inFlight atomic.Int64
-	// bodyBytes is what the bodies of all calls keep.
+	// bodyReads bounds how fast bodies are read, bodyBytes is what those of all calls keep.
+	bodyReads *rate.Limiter
 	bodyBytes atomic.Int64
 	stopping  atomic.Bool
 	closing   atomic.Bool
@@ -148,6 +149,7 @@
 		changed: make(chan struct{}), confirmed: make(chan struct{}), loads: newLoads(),
 	}
 	g.calls = stop.NewCalls()
+	g.bodyReads = bodyRate(cfg.Limits.BodyBytesPerSecond)
 	g.client = upstream.New(upstream.Config{IDHeader: cfg.Dialect.IDHeader(), DialTimeout: dialTimeout, MaxDialTimeout: maxDialTimeout, UserTimeout: userTimeout, MaxUserTimeout: maxUserTimeout,
 		ProbeIdle: probeIdle, MaxIdle: maxIdle, Clock: cfg.Clock, Link: cfg.Link, BodyRate: bodyRate(cfg.Limits.BodyBytesPerSecond)})
 	return g
