Answer requests when a second signal cuts a stop short

Callers saw: connections that ended without an answer when a host got a second SIGTERM during its stop, although the host knew what had become of their requests.

Cause: the requests were ended, but the wait for their answers ended with the same signal, and the servers were closed at once.

Ruled out: requests that are ended but not answered: each of them got its answer made.

Change: the answers get the 0.3 s that they get at the end of any stop, whenever it comes. A second signal still ends all other waits of the stop at once.

Evidence: TestRequestsAreAnsweredWhenAStopIsCutShort and the five phases of TestSecondSignalInEachPhaseAnswersRequests failed before and pass; they and TestSecondSignalDoesNotWaitForCallers also check that the process ends within a second of the signal.

Conclusion: a caller that takes longer than 0.3 s to read its answer may lose its rest, as at the end of any stop.

--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -181,6 +181,9 @@
 	quietFor = 500 * time.Millisecond
 	// stopMargin is left for the end of the process.
 	stopMargin = 600 * time.Millisecond
+	// answersFor is how long the answers to the requests that a stop ends may take to reach
+	// their callers, also when the stop is cut short.
+	answersFor = stopMargin / 2
 )
 
 // takingFor is how long new requests are taken during a planned stop.
@@ -195,8 +198,8 @@
 }
 
 // shutdown reports that the host is not ready and serves on, because callers go on
-// using their connections. It ends when they have left or the time is over; whoever still
-// waits then is told what is known of the request.
+// using their connections. It ends when they have left, the time is over or hard ends; whoever
+// still waits then is told what is known of the request.
 func (h *EntryHost) shutdown(hard context.Context, traffic *http.Server) error {
 	h.logger.Info("stopping", zap.Int64("in_flight", h.gateway.InFlight()))
 	h.record("stopping", h.settings.Host, "")
@@ -210,7 +213,7 @@
 		h.logger.Warn("requests are ended with the stop", zap.Int64("in_flight", left))
 	}
 	h.gateway.EndCalls()
-	h.awaitCallers(hard, end.Add(stopMargin/2))
+	h.awaitCallers(context.Background(), earlier(end, h.clock.Now()).Add(answersFor))
 	ctx, cancel := context.WithTimeout(hard, stopMargin/4)
 	defer cancel()
 	if err := traffic.Shutdown(ctx); err != nil {
@@ -248,3 +251,10 @@
 		pause(hard, stopPoll)
 	}
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -42,7 +42,7 @@
 }
 
 // Run serves until a signal arrives. A second signal ends the process without
-// waiting for requests in flight.
+// waiting for backend servers to answer requests in flight.
 func (c *runCmd) Run(adapter daemon.Adapter) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
@@ -77,8 +77,8 @@
 // logCloseTimeout bounds the wait for an output that takes no lines at the end.
 const logCloseTimeout = 200 * time.Millisecond
 
-// runner is a process that serves until ctx ends and then stops gracefully, or at
-// once when hard ends.
+// runner is a process that serves until ctx ends and then stops gracefully, or
+// early when hard ends.
 type runner interface {
 	Run(ctx, hard context.Context) error
 	// Reload takes over changed settings, as far as that needs no restart.
