A stop ends idle connections once it takes no requests any more

By the times, it crossed the end of the connection on a crowded link; the log of that host was not kept, so this is suspected.

Cause: idle connections were kept to the end of the stop, 2.4 s longer than requests on them were taken, and then ended on whatever the link was doing.

Change: they end when requests are taken no more and the own link is calm (50 ms), or else at the end.

TestIdleConnectionsEndOnceNothingIsTaken fails without the change. TestRequestsReadAsTheStopEndsAreAnswered sends its request before that moment now, which comes earlier, and still holds it up until idle connections are ended.

--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -15,6 +15,7 @@
 	"github.com/agatestep/agatestep/internal/peer"
 	"github.com/agatestep/agatestep/internal/session"
 	"github.com/agatestep/agatestep/internal/settings"
+	"github.com/agatestep/agatestep/internal/stop"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/wire"
 )
@@ -181,14 +182,18 @@
 	quietFor = 500 * time.Millisecond
 	// stopMargin is left for the end of the process.
 	stopMargin = 600 * time.Millisecond
-	// answersFor is how long the answers to the requests that a stop ends may take to reach
-	// their callers, also when the stop is cut short.
-	answersFor = stopMargin / 2
+	// closeFor is how long the servers may take to close at the end of a stop, leaveFor how
+	// long the leader may take to hear of it.
+	closeFor = 50 * time.Millisecond
+	leaveFor = 150 * time.Millisecond
+	// calmLink is the wait on the host's own link up to which its connections are ended: a
+	// request on its way then hardly crosses the end of its connection.
+	calmLink = 50 * time.Millisecond
 )
 
 // takingFor is how long new requests are taken during a planned stop.
-func takingFor(stop time.Duration) time.Duration {
-	return min(time.Duration(takeShare*float64(stop)), maxTaking)
+func takingFor(whole time.Duration) time.Duration {
+	return min(time.Duration(takeShare*float64(whole)), maxTaking)
 }
 
 // serveCallers starts to serve callers.
@@ -213,30 +218,41 @@
 		h.logger.Warn("requests are ended with the stop", zap.Int64("in_flight", left))
 	}
 	h.gateway.EndCalls()
-	h.awaitCallers(context.Background(), earlier(end, h.clock.Now()).Add(answersFor))
-	ctx, cancel := context.WithTimeout(hard, stopMargin/4)
+	h.awaitCallers(context.Background(), earlier(end, h.clock.Now()).Add(stop.AnswerTime))
+	ctx, cancel := context.WithTimeout(hard, closeFor)
 	defer cancel()
 	if err := traffic.Shutdown(ctx); err != nil {
 		h.logger.Warn("connections cut off by the end of the stop", zap.Int64("in_flight", h.gateway.InFlight()), zap.Int("connections", h.callers.open()), logging.Error(err))
 	}
-	if err := h.session.Close(ctx); err != nil {
-		h.logger.Warn("session not closed; it expires", logging.Error(err))
-	}
+	h.leave(hard)
 	h.stopServers(ctx)
 	h.logger.Info("stopped", zap.Duration("took", h.clock.Now().Sub(began)))
 	return nil
 }
 
+// leave tells the leader that this host has stopped.
+func (h *EntryHost) leave(hard context.Context) {
+	ctx, cancel := context.WithTimeout(hard, leaveFor)
+	defer cancel()
+	if err := h.session.Close(ctx); err != nil {
+		h.logger.Warn("session not closed; it expires", logging.Error(err))
+	}
+}
+
 // stopPoll is how often a stop looks at what is left.
 const stopPoll = 20 * time.Millisecond
 
 // serveUntilQuiet serves until no request has come for a while, and refuses new ones once
-// they might not end before the process does.
+// they might not end before the process does. Idle connections are of no use to their
+// callers from then on.
 func (h *EntryHost) serveUntilQuiet(hard context.Context, began, end time.Time) {
 	for hard.Err() == nil && h.clock.Now().Before(end) {
 		now := h.clock.Now()
 		if now.Sub(began) >= takingFor(h.settings.Deployment.StopTime) {
 			h.gateway.StopTaking()
+			if !h.callers.isEnding() && h.link.Queue() < calmLink {
+				h.callers.endIdle()
+			}
 		}
 		if now.Sub(began) >= unreadyFor && h.gateway.InFlight() == 0 && h.gateway.Quiet(now) >= quietFor {
 			return
--- a/internal/daemon/stop_answers_test.go
+++ b/internal/daemon/stop_answers_test.go
@@ -293,7 +293,7 @@
 			}
 			hook.mu.Unlock()
 			w.stop()
-			time.Sleep(stopTime - stopMargin - 200*time.Millisecond)
+			time.Sleep(takingFor(stopTime) - 200*time.Millisecond)
 			fmt.Fprint(conn, order("/scan/"))
 			resp, err := http.ReadResponse(answers, nil)
 			is.NoErr(err) // the connection ended without an answer
@@ -302,6 +302,34 @@
 	}
 }
 
+// A caller has an idle connection when its host stops taking requests, while another request is
+// under way. Guards against a connection that is kept to the end of the stop: each request on it is
+// refused, and one that is on its way at the end crosses the end and gets no answer.
+func TestIdleConnectionsEndOnceNothingIsTaken(t *testing.T) {
+	const stop = 4 * time.Second
+	is, w := is.New(t), newStopWorld(t, stop, nil)
+	done := make(chan struct{})
+	defer close(done)
+	w.backend("vault", hang(done))
+	idle, _ := w.kept()
+	busy, answers := w.kept()
+	fmt.Fprint(busy, order("/scan/"))
+	ended := make(chan string, 2)
+	go func() {
+		_, _ = idle.Read(make([]byte, 1)) // ends with the connection
+		ended <- "idle"
+	}()
+	go func() {
+		_, _ = http.ReadResponse(answers, nil) // comes with the end of the stop
+		ended <- "busy"
+	}()
+	began := time.Now()
+	w.stop()
+	is.Equal(<-ended, "idle")
+	is.True(time.Since(began) < stop-stopMargin-500*time.Millisecond)
+	is.Equal(<-ended, "busy")
+}
+
 // slowCaller connects with a small receive buffer, as a caller behind a crowded link.
 func slowCaller(w *stopWorld) *net.TCPConn {
 	is := is.New(w.t)
