A stop does not end connections with an unread request

Callers saw: a reset in place of an answer, if their request had arrived when the stop ended idle connections and the process had not read it yet.

Change: the kernel is asked for unread bytes before an idle connection is ended.

TestConnectionWithAnUnreadRequestIsNotEnded does not build without the change, and with the look taken out its first read fails.

--- a/internal/callerconn/closed_other.go
+++ b/internal/callerconn/closed_other.go
@@ -6,3 +6,6 @@
 
 // ClosedByPeer reports false: the end of a connection is heard by reading only.
 func ClosedByPeer(syscall.RawConn) bool { return false }
+
+// Readable reports nothing on this system.
+func Readable(syscall.RawConn) bool { return false }
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -145,11 +145,18 @@
 func (c *callerConn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy {
+	if !c.busy && !c.unread() {
 		c.end()
 	}
 }
 
+// unread reports whether bytes have arrived that the server has not read yet. A close would
+// reset the connection under them.
+func (c *callerConn) unread() bool {
+	raw, err := c.SyscallConn()
+	return err == nil && callerconn.Readable(raw)
+}
+
 // end makes reads fail. The caller holds c.mu.
 func (c *callerConn) end() {
 	c.ended = true
--- a/internal/daemon/callerconn_test.go
+++ b/internal/daemon/callerconn_test.go
@@ -162,3 +162,35 @@
 	close(ended)
 	is.NoErr(<-cancelled)
 }
+
+// A process that gets little processor time ends its idle connections when a request has arrived
+// on one that it has not read yet. Guards against a reset of the connection in place of an answer.
+func TestConnectionWithAnUnreadRequestIsNotEnded(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := newCallerListener(inner, 10, func() (time.Duration, time.Duration) { return 0, 0 }, nil)
+	defer l.Close()
+	var conns []*callerConn
+	for _, sent := range []string{"GET /", ""} {
+		caller, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		defer caller.Close()
+		accepted, err := l.Accept()
+		is.NoErr(err)
+		defer accepted.Close()
+		_, err = io.WriteString(caller, sent)
+		is.NoErr(err)
+		conns = append(conns, accepted.(*callerConn))
+	}
+	for !conns[0].unread() {
+		time.Sleep(time.Millisecond)
+	}
+	l.endIdle()
+	n, err := conns[0].Read(make([]byte, 10))
+	is.NoErr(err)
+	is.Equal(n, len("GET /"))
+	_, err = conns[1].Read(make([]byte, 10))
+	var timeout net.Error
+	is.True(errors.As(err, &timeout) && timeout.Timeout())
+}
