A body that fails says nothing of the server

Callers saw: an idempotent request with a malformed body sent to a second server, and sound servers avoided for a while after callers broke off their bodies.

Cause: each failure of an attempt counted against its server, also when the caller's body was the reason.

--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -229,3 +229,26 @@
 		})
 	}
 }
+
+// Uploads whose callers break off, again and again. Guards against a sound server that is taken
+// for a failing one because the bodies for it could not be read, and against a second attempt that
+// gets no more of the body.
+func TestBodiesThatBreakOffSayNothingOfTheServer(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.configure()
+	w.backend("vault", "v1", func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		hello(rw, r)
+	})
+	for range 5 {
+		caller := w.caller(is)
+		fmt.Fprintf(caller.conn, "POST /list/x HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: r1\r\nTransfer-Encoding: chunked\r\n\r\nnot a chunk\r\n", wire.HeaderRequestID)
+		w.settled(is)
+		caller.leave(false)
+	}
+	s := w.gateway.server(w.tables().Members("vault")[0])
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.backlog.Failing(time.Now()), 0.0)
+	is.True(w.arrivals() <= 5)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -331,13 +331,17 @@
 		delete(c.tried, keyOf(t.backend))
 		return again
 	}
+	var body *upstream.BodyError
+	if errors.As(e.Cause, &body) { // says nothing of the server, and another one gets no more
+		c.ran++
+		if bodyTooLarge(e.Cause) {
+			e.Status = http.StatusRequestEntityTooLarge
+		}
+		return finish
+	}
 	s.mu.Lock()
 	s.backlog.Outcome(now, true)
 	s.mu.Unlock()
-	if bodyTooLarge(e.Cause) {
-		e.Status = http.StatusRequestEntityTooLarge
-		return finish
-	}
 	if e.Verdict == verdict.NotRun {
 		switch {
 		case errors.Is(e.Cause, upstream.ErrOpening):
