--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -262,22 +262,22 @@
 
 // Read implements io.Reader. What it returns is sent next, so it waits for the rate.
 func (s *bodySource) Read(p []byte) (int, error) {
-	x := s.x
-	limit := x.client.cfg.BodyRate
+	limit := s.x.client.cfg.BodyRate
 	if limit != nil {
 		p = p[:min(len(p), BodyChunk)]
 	}
-	n, err := x.req.Body.Read(p)
+	n, err := s.x.req.Body.Read(p)
 	s.read += int64(n)
 	if err != nil && err != io.EOF {
 		err = &BodyError{err: err}
 	}
-	if err == io.EOF || s.read == x.req.Length {
-		x.bodyRead.Store(true)
+	if err == io.EOF || s.read == s.x.req.Length {
+		s.x.bodyRead.Store(true)
 	}
+	x := s.x
 	x.client.cfg.Link.Sent(egress.Bodies, n)
 	if limit != nil && n > 0 {
-		if waited := limit.WaitN(x.ctx, n); waited != nil {
+		if waited := limit.WaitN(s.x.ctx, n); waited != nil {
 			return 0, &BodyError{err: waited, late: true} // the request is over, or would be
 		}
 	}
