--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -34,7 +34,7 @@
 	client    *peer.Client // calls
 	logClient *peer.Client // messages of the replicated log, and table watches
 	peers     *peer.Server
-	link      *egress.Link // of this host; nil if its bandwidth is not known
+	link      *egress.Link // of an entry host; nil if its bandwidth is not known
 
 	listeners map[string]net.Listener
 	servers   []*http.Server
@@ -53,7 +53,9 @@
 	p.client = peer.NewClient(hlc, p.clientTLS)
 	p.logClient = peer.NewClient(hlc, p.clientTLS)
 	p.peers = peer.NewServer(hlc)
-	p.link = egress.New(bytesPerMbit * cfg.Limits.LinkMbps)
+	if cfg.Deployment.Role == settings.RoleEntry { // other hosts do not report it
+		p.link = egress.New(bytesPerMbit * cfg.Limits.LinkMbps)
+	}
 	p.client.Link, p.logClient.Link, p.peers.Link = p.link, p.link, p.link
 	return p, nil
 }
