Log how long the replicated log is held up and how reads of the configuration end

Elections without a lost host and reads that fail could not be told apart: nothing said whether the goroutine that sends the leader's heartbeats was held up by the disk, by a command or by want of processor time, and a read of the configuration left no line.

The goroutine notes its stage; a control host looks at it every 100 ms and logs a stage of 200 ms or more with the number of goroutines.

--- a/internal/daemon/controlcalls.go
+++ b/internal/daemon/controlcalls.go
@@ -156,10 +156,12 @@
 
 // ReadItems implements controlapi.API.
 func (h *ControlHost) ReadItems(ctx context.Context) ([]items.Item, error) {
+	began := h.clock.Now()
 	reply, err := onLeader(ctx, h, readCall, wire.MethodReadItems, wire.ReadItems{}, h.handleReadItems, func(r wire.ReadItemsReply) bool { return r.OK })
 	if err == nil && !reply.OK {
 		err = errors.New(reply.Reason)
 	}
+	h.logger.Info("items read", zap.Int("items", len(reply.Items)), zap.Duration("took", h.clock.Now().Sub(began)), logging.Error(err))
 	if err != nil {
 		return nil, errors.WithType(err, controlapi.ErrUnavailable)
 	}
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,6 +106,7 @@
 			return nil
 		case <-ticker.C:
 			last = h.noteWakeUp(last)
+			h.noteTurn()
 			if last.Sub(logged) >= workLogInterval {
 				logged = last
 				h.logWork()
@@ -143,6 +145,17 @@
 	return now
 }
 
+// lateTurn is the time without a turn of the replicated log that is logged. Followers
+// elect another leader after two to four times as long.
+const lateTurn = 200 * time.Millisecond
+
+// noteTurn logs that the goroutine of the replicated log is held up, and where.
+func (h *ControlHost) noteTurn() {
+	if stage, held := h.replica.node.Load().Turn(); held >= lateTurn {
+		h.logger.Info("replicated log is held up", zap.Stringer("stage", stage), zap.Duration("for", held), zap.Int("goroutines", runtime.NumGoroutine()))
+	}
+}
+
 func (h *ControlHost) shutdown(hard context.Context) {
 	h.logger.Info("stopping")
 	h.record("stopping", h.settings.Host, "")
--- a/internal/replication/driver.go
+++ b/internal/replication/driver.go
@@ -32,6 +32,7 @@
 	status atomic.Pointer[Status]
 	// barrier is as of the last messages that were sent.
 	barrier atomic.Pointer[Barrier]
+	turn    turn
 
 	counters counters
 }
@@ -105,22 +106,28 @@
 
 // process does the work that the core has accumulated and publishes the status.
 func (d *driver) process() {
+	defer d.turn.enter(StageWaiting)
 	for d.err == nil {
 		rd := d.core.Ready()
 		d.noteRound()
 		if rd.empty() {
 			break
 		}
+		d.turn.enter(StageSend)
 		d.publishBarrier()
 		d.sendAll(rd.Early)
+		d.turn.enter(StageStore)
 		if err := d.persist(rd); err != nil {
 			d.fail(err)
 			break
 		}
+		d.turn.enter(StageSend)
 		d.sendAll(rd.Messages)
 		d.core.Advance(rd)
+		d.turn.enter(StageApply)
 		d.apply(rd)
 	}
+	d.turn.enter(StagePublish)
 	d.settle()
 	d.publish()
 }
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -61,10 +61,13 @@
 			n.driver.stop()
 			return
 		case <-ticks:
+			n.driver.turn.enter(StageTake)
 			n.driver.tick()
 		case m := <-n.inbox:
+			n.driver.turn.enter(StageTake)
 			n.drainInbox(m)
 		case req := <-n.requests:
+			n.driver.turn.enter(StageTake)
 			n.driver.accept(n.drainRequests(req))
 		}
 		n.driver.process()
