The record of an election outlasts the call that began it

Cause: all calls to a new leader share the commit of LeaderElected, which ran under the context of whichever came first. When that call's time ended, everybody's commit failed, and the next call proposed another one.

The class is that of: work that all wait for, under the patience of one. proposeOnce, the other shared call of the leader, has a time of its own already.

The shared commit has a time of its own, and each caller waits for as long as it likes.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -217,19 +217,30 @@
 	if fresh {
 		return nil
 	}
-	_, err, _ := l.election.Do(strconv.FormatUint(r.term, 10), func() (any, error) {
-		res, err := l.commit(ctx, command.Command{LeaderElected: &command.LeaderElected{Term: r.term, Host: st.LeaderHost}})
-		if err == nil && res.Code != command.ResultOK {
-			err = errors.New(res.Detail)
-		}
-		return nil, err
-	})
+	recorded := l.election.DoChan(strconv.FormatUint(r.term, 10), func() (any, error) { return nil, l.recordElection(ctx, r.term, st.LeaderHost) })
+	select {
+	case o := <-recorded:
+		return errors.Annotate(o.Err, "recording the election")
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "waiting for the record of the election")
+	}
+}
+
+// recordElection commits LeaderElected. It outlasts the call that began it, because all
+// calls to a new leader wait for it.
+func (l *Leader) recordElection(ctx context.Context, term uint64, host string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposalTime)
+	defer cancel()
+	res, err := l.commit(ctx, command.Command{LeaderElected: &command.LeaderElected{Term: term, Host: host}})
 	if err != nil {
-		return errors.Annotate(err, "recording the election")
+		return err
+	}
+	if res.Code != command.ResultOK {
+		return errors.New(res.Detail)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term == r.term {
+	if l.term == term {
 		l.fresh = true
 	}
 	return nil
