Keep to what a backend server's answers ask for: it leaves, or wants a pause

An answer can say that its server leaves; the host that passed it on then sends it nothing after the time for which a leaving owner of keys is used (0.6 s with the bounds of the platform, promise: drain_ms), whether or not the table says so yet, as it never does for a server that is cut off from the control hosts. A server that turns a request away can ask for a pause; this host sends it nothing until its end. A request that only such servers can take waits if the pause ends while it may be held (0.35 of its time), and is refused at once with the rest of the pause if not.

Answers of a server at the wrong address are not heeded, a time that is no positive number asks for nothing.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -176,8 +176,11 @@
 	if b == nil || b.Born != t.backend.Born || !g.mayServeHeld(b, g.cfg.Clock.Now()) {
 		return true
 	}
+	if g.server(b).paused(g.cfg.Clock.Now()) > 0 {
+		return true
+	}
 	if !c.keyed {
-		return b.Leaving || b.Draining
+		return b.Draining || g.leaves(b)
 	}
 	slice, ok := g.cfg.Tables().Lookup(c.service, c.Hash)
 	return !ok || slice.Owner != t.slice.Owner || slice.Epoch != t.slice.Epoch
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -42,6 +42,10 @@
 	// Misdirected means that it was not meant for this backend server or that the
 	// server does not hold the key.
 	Misdirected bool
+	// Leaving means that the backend server is about to stop.
+	Leaving bool
+	// Pause is how long the backend server wants nothing more from this host.
+	Pause time.Duration
 	// Load is what the server says of its load; nil when it does not.
 	Load *backlog.Report
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,7 +249,7 @@
 	}
 	key := keyOf(b)
 	m := g.marks[key]
-	if b.Leaving && m.leaving.IsZero() {
+	if b.Leaving && (m.leaving.IsZero() || since.Before(m.leaving)) {
 		m.leaving = since
 	}
 	switch {
@@ -274,12 +274,33 @@
 	g.mu.Lock()
 	m := g.marks[keyOf(b)]
 	g.mu.Unlock()
-	if b.Leaving && now.Sub(m.leaving) >= g.cfg.Limits.LeaveFor {
+	if !m.leaving.IsZero() && now.Sub(m.leaving) >= g.cfg.Limits.LeaveFor {
 		return false
 	}
 	return !b.Draining || now.Sub(m.draining) < g.cfg.Limits.EvacuateFor
 }
 
+// saidLeaving notes that a backend server's own answer says that it leaves. The table may
+// say so later, or never if the server does not reach the control group.
+func (g *Gateway) saidLeaving(b *table.Backend, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.marks[keyOf(b)]
+	if !m.leaving.IsZero() {
+		return
+	}
+	m.leaving = now
+	g.marks[keyOf(b)] = m
+	g.cfg.Logger.Info("backend server says that it leaves", zap.String("backend", b.Name), zap.String("service", b.Service), zap.Int64("born", b.Born))
+}
+
+// leaves reports whether a backend server is known to leave.
+func (g *Gateway) leaves(b *table.Backend) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.marks[keyOf(b)].leaving.IsZero()
+}
+
 // tableChange returns a channel that the next table closes.
 func (g *Gateway) tableChange() <-chan struct{} {
 	g.mu.Lock()
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -34,7 +34,7 @@
 		return target{reason: "the service has no backend server"}, nil, misdirectedPause
 	}
 	var best *table.Backend
-	var bestCost, bestWait time.Duration
+	var bestCost, bestWait, pause time.Duration
 	decision := backlog.Refuse
 	for _, i := range rand.Perm(len(members)) {
 		b := members[i]
@@ -42,6 +42,15 @@
 		if _, down := s.isDown(now); down || c.tried[keyOf(b)] && len(c.tried) < len(members) {
 			continue
 		}
+		if g.leaves(b) {
+			continue // the table does not say so yet
+		}
+		if left := s.paused(now); left > 0 {
+			if pause == 0 || left < pause {
+				pause = left
+			}
+			continue
+		}
 		s.mu.Lock()
 		verdictOf, delay := s.backlog.Admit(now, d)
 		cost := delay + time.Duration(s.backlog.Pace(now)*float64(d.Service)) + time.Duration(s.backlog.Failing(now)*float64(failingCost))
@@ -58,6 +67,8 @@
 		}
 	}
 	switch {
+	case best == nil && pause > 0:
+		return g.awaitPause(c, now, pause)
 	case best == nil:
 		return target{reason: "no backend server of the service can be reached"}, nil, misdirectedPause
 	case decision == backlog.Refuse:
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -247,9 +247,23 @@
 	if left, down := s.isDown(now); down {
 		return target{reason: "the key's owner cannot be reached"}, nil, min(left, misdirectedPause)
 	}
+	if left := s.paused(now); left > 0 {
+		return g.awaitPause(c, now, left)
+	}
 	return target{backend: b, slice: slice}, nil, 0
 }
 
+// awaitPause is the target of a call that only servers could take which want no requests for
+// the time left: it waits for them if it may be held for so long, and is refused at once if not.
+func (g *Gateway) awaitPause(c *call, now time.Time, left time.Duration) (target, *verdict.Error, time.Duration) {
+	const reason = "the backend server asked for a pause"
+	whole := c.until.Sub(c.arrived)
+	if now.Add(left).Sub(c.arrived) < time.Duration(holdShare*float64(whole)) {
+		return target{reason: reason}, nil, left
+	}
+	return target{}, verdict.Unavailable(verdict.ReasonOverloaded, reason), left
+}
+
 func overloaded(wait time.Duration) *verdict.Error {
 	return verdict.Unavailable(verdict.ReasonOverloaded, "the expected wait of "+wait.Round(time.Millisecond).String()+" leaves no time for the work")
 }
@@ -370,6 +384,9 @@
 	s.lateOpenings = 0
 	s.backlog.Outcome(now, !said.Misdirected && resp.StatusCode >= http.StatusInternalServerError)
 	s.mu.Unlock()
+	if !said.Misdirected { // else another server may have answered at this address
+		g.heed(t.backend, s, said, now)
+	}
 	if said.NotRun {
 		resp.Body.Close()
 		e := g.notRun(c, t, resp.StatusCode, said)
@@ -400,6 +417,17 @@
 	return answer, nil, finish
 }
 
+// heed takes in what an answer says of its server's wishes.
+func (g *Gateway) heed(b *table.Backend, s *server, said Answer, now time.Time) {
+	if said.Leaving {
+		g.saidLeaving(b, now)
+	}
+	if said.Pause > 0 {
+		s.pause(now.Add(said.Pause))
+		g.cfg.Logger.Info("backend server asks for a pause", zap.String("backend", b.Name), zap.String("service", b.Service), zap.Duration("pause", said.Pause))
+	}
+}
+
 // learn takes in the time of an answered request.
 func (g *Gateway) learn(c *call, t target, took time.Duration, said Answer) {
 	work := took
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,6 +17,8 @@
 	outlook permit.Outlook
 	// down is until when the server is not tried, after connections failed.
 	down time.Time
+	// pausedUntil is until when the server wants no requests from this host.
+	pausedUntil time.Time
 	// lateOpenings counts the connections in a row that took too long to open.
 	lateOpenings int
 }
@@ -73,6 +75,23 @@
 	return s.down.Sub(now), now.Before(s.down)
 }
 
+// pause notes that the server asked for a pause. A later answer to an earlier request does
+// not shorten it.
+func (s *server) pause(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// paused returns how long the server still wants no requests, or zero.
+func (s *server) paused(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.pausedUntil.Sub(now), 0)
+}
+
 // serviceTimes are the usual times of the requests of one service, by route.
 type serviceTimes struct {
 	mu    sync.Mutex
