Refuse heartbeats that no backend server can have sent

An entry of another writer with slots of 2^40, port 0, an address that is a group, a start in the far future or a list without bound was recorded like a server; TestEntriesThatCannotBeAreRefused failed before. A start in the future would also have kept every later server from that address.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -19,6 +20,9 @@
 // that it owns. It is answered by the leader only.
 func (l *Leader) Heartbeat(ctx context.Context, hb wire.Heartbeat) wire.HeartbeatReply {
 	received := l.cfg.Clock.Now()
+	if err := checkHeartbeat(&hb, received); err != nil {
+		return wire.HeartbeatReply{Refused: true, Reason: err.Error()}
+	}
 	if err := l.establish(ctx); err != nil {
 		return wire.HeartbeatReply{Leader: l.cfg.Proposer.Status().LeaderHost, Reason: err.Error()}
 	}
@@ -42,6 +46,34 @@
 	return l.lease(&hb)
 }
 
+// Bounds of what a heartbeat may say. One beyond them comes from another writer, and must
+// not take keys, addresses or processor time from backend servers.
+const (
+	maxReportedSlots  = 1 << 16
+	maxReportedRanges = 1 << 12
+	maxReportedCold   = time.Hour
+	// maxBornAhead is far above the differences between clocks. A process that was born
+	// later counts as the newer one at its address.
+	maxBornAhead = 24 * time.Hour
+)
+
+func checkHeartbeat(hb *wire.Heartbeat, now time.Time) error {
+	address, err := netip.ParseAddrPort(hb.Address)
+	switch {
+	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		return errors.Errorf("address %q is not IP:port of a listener", hb.Address)
+	case hb.Slots < 1 || hb.Slots > maxReportedSlots:
+		return errors.Errorf("slots is %d, must be between 1 and %d", hb.Slots, maxReportedSlots)
+	case hb.ColdMs > maxReportedCold.Milliseconds():
+		return errors.Errorf("cold for %d ms, must be at most %v", hb.ColdMs, maxReportedCold)
+	case len(hb.Holds) > maxReportedRanges || len(hb.Released) > maxReportedRanges:
+		return errors.Errorf("%d ranges are held and %d released, at most %d can be", len(hb.Holds), len(hb.Released), maxReportedRanges)
+	case hb.Born > now.Add(maxBornAhead).UnixMilli():
+		return errors.Errorf("born at %d, more than %v from now", hb.Born, maxBornAhead)
+	}
+	return nil
+}
+
 // answerLate answers a heartbeat that renews nothing. Its acknowledgement still
 // promises that the end of the server is known, which the commit for an earlier
 // receipt may have failed to record.
--- /dev/null
+++ b/internal/control/oddentry_test.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/wire"
+)
+
+// Another writer reports an entry that cannot be. Guards against one that is given keys, that
+// holds an address against the servers that start there, or that costs the leader its time.
+func TestEntriesThatCannotBeAreRefused(t *testing.T) {
+	is, r := is.New(t), newReporters(t, 4)
+	far := r.clock.Now().Add(2 * maxBornAhead).UnixMilli()
+	for name, change := range map[string]func(*wire.Heartbeat){
+		"port 0":               func(hb *wire.Heartbeat) { hb.Address = "10.9.9.9:0" },
+		"port out of range":    func(hb *wire.Heartbeat) { hb.Address = "10.9.9.9:99999" },
+		"no port":              func(hb *wire.Heartbeat) { hb.Address = "10.9.9.9" },
+		"no address":           func(hb *wire.Heartbeat) { hb.Address = "0.0.0.0:80" },
+		"a group":              func(hb *wire.Heartbeat) { hb.Address = "224.0.0.1:80" },
+		"slots below 1":        func(hb *wire.Heartbeat) { hb.Slots = -1 },
+		"too many slots":       func(hb *wire.Heartbeat) { hb.Slots = 1 << 40 },
+		"the largest number":   func(hb *wire.Heartbeat) { hb.Slots = math.MaxInt },
+		"cold for ever":        func(hb *wire.Heartbeat) { hb.ColdMs = math.MaxInt64 },
+		"born in the future":   func(hb *wire.Heartbeat) { hb.Born = far },
+		"a list without bound": func(hb *wire.Heartbeat) { hb.Holds = make([]wire.KeyRange, maxReportedRanges+1) },
+	} {
+		odd := wire.Heartbeat{Service: "desk", Backend: "odd", Born: 7, DataCentre: "dc1", Address: "10.9.9.9:80", Slots: 2, Sequence: 1}
+		change(&odd)
+		reply := r.Heartbeat(ctx, odd)
+		if !reply.Refused || reply.Acked {
+			t.Errorf("%s: %+v", name, reply)
+		}
+	}
+	is.True(r.state.Table().Backend("desk", "odd") == nil)
+	is.True(r.report("b000").Grant) // the others are served
+}
