Let time pass in TestLeavingServerIsEmptied

Traced: the test moves its clock once by the gap between proposals after the request in flight has ended. The dispatcher may look once more before it notes that end, proposes the move again, and with it takes the gap; the loss then waits for a time that never comes. A dispatcher whose clock runs on proposes the loss one gap later.

The test lets time pass until the loss is proposed, as its harness does for orders.

--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -273,8 +273,9 @@
 	})
 	w.True(!w.proposed(isLost))
 	w.Equal(finish(), nil)
-	w.pass(retryGap)
-	w.until("loss", func() bool { return w.proposed(isLost) })
+	// The move may be proposed once more before the end of the request is noted, and the loss
+	// waits for a gap after it.
+	w.until("loss", func() bool { w.pass(2 * time.Millisecond); return w.proposed(isLost) })
 	o, _ := w.b.lastOrder()
 	w.Equal(len(o.Slices), 0)
 }
