Keep the connection after a refusal, for other requests

A backend server that says that it did not run a request lost its connection: the empty or short body of the refusal was not read, so the connection did not count as free.

After eight refusals it is renewed.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -388,7 +388,7 @@
 		g.heed(t.backend, s, said, now)
 	}
 	if said.NotRun {
-		resp.Body.Close()
+		resp.CloseRefused()
 		e := g.notRun(c, t, resp.StatusCode, said)
 		if !said.Misdirected && s.free(now) {
 			return nil, e, again // it refuses a share of its requests, whatever its load
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -120,6 +120,21 @@
 	exchange *exchange
 }
 
+// maxRefused is the number of refusals after which a connection is not kept, which bounds
+// what is remembered of them.
+const maxRefused = 8
+
+// CloseRefused ends a response that says that the request did not run. The connection is kept
+// for other requests if the whole response has arrived.
+func (r *Response) CloseRefused() {
+	c := r.exchange.conn
+	if r.ContentLength >= 0 && r.ContentLength <= int64(c.br.Buffered()) {
+		_, _ = io.Copy(io.Discard, r.Body) // what cannot be read is not kept
+	}
+	c.refused = append(c.refused, r.exchange.req.ID)
+	_ = r.Body.Close() // never fails
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	client *Client
@@ -177,7 +192,7 @@
 
 func (c *Client) obtain(ctx context.Context, p *pool, req *Request) (cn *conn, reused bool, err error) {
 	if !req.Fresh {
-		if cn := p.take(c.cfg.Clock.Now(), c.cfg.MaxIdle); cn != nil {
+		if cn := p.take(c.cfg.Clock.Now(), c.cfg.MaxIdle, req.ID); cn != nil {
 			req.Opening.Forsake()
 			c.Reused.Add(1)
 			return cn, true, nil
@@ -391,7 +406,7 @@
 	resp, x := b.response, b.response.exchange
 	sent := x.sent()
 	keep := keepFor(resp.Response, x.client.cfg.MaxIdle)
-	if !b.complete || !sent || resp.Close || x.stray || keep <= 0 || x.conn.br.Buffered() > 0 || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !b.complete || !sent || resp.Close || x.stray || keep <= 0 || len(x.conn.refused) > maxRefused || x.conn.br.Buffered() > 0 || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		x.abandon()
 		return nil
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +33,8 @@
 	// until is when the backend server may close the connection while it is idle.
 	until time.Time
 	idle  time.Time // since when it is idle
+	// refused are the requests that the backend server said on it that it did not run.
+	refused []string
 	// silence is how long sent data may stay unacknowledged.
 	silence time.Duration
 }
@@ -74,19 +77,15 @@
 	preparing bool
 }
 
-// take returns the idle connection that was used last, or nil. Connections that
-// are closed, have unread bytes, or are about to be closed are dropped.
-func (p *pool) take(now time.Time, maxIdle time.Duration) *conn {
+// take returns the idle connection that was used last and may carry the request with an
+// id, or nil. Connections that are closed, have unread bytes, or are about to be closed
+// are dropped.
+func (p *pool) take(now time.Time, maxIdle time.Duration, id string) *conn {
 	for {
-		p.mu.Lock()
-		n := len(p.idle)
-		if n == 0 {
-			p.mu.Unlock()
+		c := p.pick(id)
+		if c == nil {
 			return nil
 		}
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
 		if now.Before(c.until) && now.Sub(c.idle) < maxIdle && c.quiet() {
 			return c
 		}
@@ -94,6 +93,21 @@
 	}
 }
 
+// pick takes the idle connection that was used last and may carry a request out of the
+// pool. One on which the request was refused may not: a second copy of that refusal would
+// pass for the next answer.
+func (p *pool) pick(id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if !slices.Contains(c.refused, id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // makeRoom closes the oldest idle connection if there are most open ones, and
 // reports whether another one may be opened.
 func (p *pool) makeRoom(most int) bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -152,7 +152,7 @@
 			// What the server did is on its way through the loopback; the look is repeated
 			// until it arrives.
 			p := client.pool(address)
-			for c := p.take(time.Now(), time.Minute); c != nil; c = p.take(time.Now(), time.Minute) {
+			for c := p.take(time.Now(), time.Minute, ""); c != nil; c = p.take(time.Now(), time.Minute, "") {
 				c.release(time.Now(), time.Minute)
 			}
 			got, failure := get(t, client, request(address, "b"))
@@ -430,7 +430,7 @@
 	is.True(failure == nil)
 	is.Equal(got, "hello")
 	is.True(client.Prepare(address, 0) == nil) // the connection is idle now
-	cn := client.pool(address).take(time.Now(), time.Minute)
+	cn := client.pool(address).take(time.Now(), time.Minute, "")
 	is.True(cn != nil)
 	cn.discard()
 
