Callers of the leader set how long it waits for its lease

The wait is a setting of the leader now: 250 ms unless said otherwise, 700 ms on control hosts, whose callers wait 850 ms and a second. Found by reading; no run.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -53,6 +53,8 @@
 	DefaultBalanceInterval   = time.Second
 	DefaultMaxMoving         = 32
 	DefaultProposalDeadline  = time.Second
+	// DefaultLeaseWait is below the time that a host gives a renewal of its session.
+	DefaultLeaseWait = 250 * time.Millisecond
 )
 
 // backendClockDrift is how much slower the clock of a backend server may measure
@@ -86,6 +88,9 @@
 	// Gather is how long an answer to a watch waits for further changes, per entry
 	// host; zero answers at once.
 	Gather time.Duration
+	// LeaseWait bounds how long calls wait for a lease that has run out, or until a leader is
+	// known. Callers must wait longer for their answers, or they come again meanwhile.
+	LeaseWait time.Duration
 	// Worked is told the kind and the time of pieces of work, without waits; it may be nil.
 	Worked func(kind string, took time.Duration)
 	// BalanceInterval is the interval of decisions to split and move slices.
@@ -110,6 +115,7 @@
 	setDefault(&c.Tick, DefaultTick)
 	setDefault(&c.BalanceInterval, DefaultBalanceInterval)
 	setDefault(&c.MaxMoving, DefaultMaxMoving)
+	setDefault(&c.LeaseWait, DefaultLeaseWait)
 	return c
 }
 
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -7,13 +7,8 @@
 	"go.uber.org/zap"
 )
 
-const (
-	// leaseWait bounds how long calls wait for a lease that has run out. Other control
-	// hosts wait 850 ms for the answer to a call.
-	leaseWait = 700 * time.Millisecond
-	// leaseLook is the time between two looks at the lease, and at who leads.
-	leaseLook = 10 * time.Millisecond
-)
+// leaseLook is the time between two looks at the lease, and at who leads.
+const leaseLook = 10 * time.Millisecond
 
 // leaseLapsed reports whether this process leads without its lease: no election
 // followed, but the last answers of a majority are too old.
@@ -50,7 +45,7 @@
 
 func (l *Leader) watchLease(back chan<- struct{}) {
 	began := time.Now()
-	for l.leaseLapsed() && time.Since(began) < leaseWait {
+	for l.leaseLapsed() && time.Since(began) < l.cfg.LeaseWait {
 		time.Sleep(leaseLook)
 	}
 	l.mu.Lock()
@@ -63,7 +58,7 @@
 // awaitLeader waits until a leader is known, so that a host that follows the table
 // does not ask all replicas in turn during an election.
 func (l *Leader) awaitLeader(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaseWait)
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.LeaseWait)
 	defer cancel()
 	ticker := time.NewTicker(leaseLook)
 	defer ticker.Stop()
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -197,7 +197,7 @@
 	h.leader = control.NewLeader(control.LeaderConfig{
 		State: h.state, Proposer: h.replica, Clock: h.clock, Logger: h.logger,
 		SessionTTL: cfg.Timing.SessionTTL, MaxClockDrift: cfg.Timing.MaxClockDrift, Poll: cfg.Timing.WatchPoll,
-		BackendHold: cfg.Deployment.Hold, HeartbeatInterval: cfg.Deployment.Heartbeat, Replicas: h.memberAddresses, Gather: gatherPerHost, Worked: work.done,
+		BackendHold: cfg.Deployment.Hold, HeartbeatInterval: cfg.Deployment.Heartbeat, Replicas: h.memberAddresses, Gather: gatherPerHost, LeaseWait: leaseWait, Worked: work.done,
 	})
 	return nil
 }
@@ -206,6 +206,10 @@
 // host: each change costs it an answer to every host.
 const gatherPerHost = 1500 * time.Microsecond
 
+// leaseWait is below callTime, and below the time that entry hosts give a renewal: a quarter
+// of the session's four seconds.
+const leaseWait = 700 * time.Millisecond
+
 // resolveAddress returns the peer address of a replica, which is its host name.
 func resolveAddress(host string) (string, bool) {
 	_, _, err := net.SplitHostPort(host)
