A term of the leader is a context

Review of: each call of a server started a goroutine that only watched for the next leader, on hosts whose trouble is the number of goroutines. No change of behaviour.

--- a/internal/daemon/controlcalls.go
+++ b/internal/daemon/controlcalls.go
@@ -49,12 +49,12 @@
 	err = errors.WithType(errors.New("no leader is known"), controlapi.ErrUnavailable)
 	wait := minLeaderPause
 	for ctx.Err() == nil {
-		leader, changed := h.leaders.get()
+		leader, term := h.leaders.get()
 		if leader.address == "" {
-			awaitChange(ctx, changed, most)
+			awaitChange(ctx, term, most)
 			continue
 		}
-		try, end := untilChange(ctx, changed)
+		try, end := during(ctx, term)
 		if leader.own {
 			reply, err = local(try, params)
 		} else {
@@ -64,31 +64,18 @@
 		if err == nil && final(reply) {
 			return reply, nil
 		}
-		awaitChange(ctx, changed, wait)
+		awaitChange(ctx, term, wait)
 		wait = min(2*wait, maxLeaderPause)
 	}
 	return reply, err
 }
 
-// untilChange returns a context that also ends with changed.
-func untilChange(ctx context.Context, changed <-chan struct{}) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		select {
-		case <-changed:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, cancel
-}
-
-// awaitChange waits until changed is closed, for most at most.
-func awaitChange(ctx context.Context, changed <-chan struct{}, most time.Duration) {
+// awaitChange waits for the end of a term, for most at most.
+func awaitChange(ctx, term context.Context, most time.Duration) {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
-	case <-changed:
+	case <-term.Done():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/internal/daemon/leaderbelief.go
+++ b/internal/daemon/leaderbelief.go
@@ -1,13 +1,18 @@
 package daemon
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // leaderBelief is the leader of the control group as this host's replica knows it. It
 // is safe for concurrent use.
 type leaderBelief struct {
-	mu      sync.Mutex
-	leader  leaderAt
-	changed chan struct{}
+	mu     sync.Mutex
+	leader leaderAt
+	// term ends with the next change.
+	term context.Context
+	end  context.CancelFunc
 }
 
 // leaderAt is where calls to the leader go. The zero value means that none is known.
@@ -17,7 +22,11 @@
 	term    uint64
 }
 
-func newLeaderBelief() *leaderBelief { return &leaderBelief{changed: make(chan struct{})} }
+func newLeaderBelief() *leaderBelief {
+	b := &leaderBelief{}
+	b.term, b.end = context.WithCancel(context.Background())
+	return b
+}
 
 // set records a change that the replica reports.
 func (b *leaderBelief) set(next leaderAt) {
@@ -26,14 +35,24 @@
 	if b.leader == next {
 		return
 	}
+	b.end()
 	b.leader = next
-	close(b.changed)
-	b.changed = make(chan struct{})
+	b.term, b.end = context.WithCancel(context.Background())
 }
 
-// get returns the leader and a channel that is closed by the next change.
-func (b *leaderBelief) get() (leaderAt, <-chan struct{}) {
+// get returns the leader and a context that ends with the next change.
+func (b *leaderBelief) get() (leaderAt, context.Context) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.leader, b.changed
+	return b.leader, b.term
+}
+
+// during returns a context that ends with ctx or with term.
+func during(ctx, term context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(term, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
