A request that a backend server refused is not sent again on that connection

The dispatcher sends a refused request again with the same id, on a kept connection, took the copy for its answer and told the caller that it had not run, while it ran.

TestCopyOfARefusalIsNotTakenForTheNextAnswer of package forward failed before: ran 1, told 0. Connections to backend servers remember their last 64 refusals; a request that is about to be written on one that refused it gets another connection. Connections between hosts are as before: our own processes do not repeat answers.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	DialTimeout  time.Duration
 	IdleTimeout  time.Duration
 	HeaderBytes  int64 // most header bytes of an answer
+	// RefusalsRepeat is set for next hops that may send an answer twice. A request that such a
+	// hop refused is not sent again on the same connection.
+	RefusalsRepeat bool
 	// TLS secures the connections when it is set; requests keep the scheme http.
 	TLS *tls.Config
 	// Opened is called for each connection opened; it may be nil.
@@ -54,7 +58,7 @@
 				return nil, err
 			}
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: c, refusalsRepeat: cfg.RefusalsRepeat}, nil
 	}
 	return &http.Transport{
 		DialContext:            dial,
@@ -95,6 +99,34 @@
 	writes int
 	sealed bool
 	body   *Body // of the request that the connection carries
+	// refused, kept if refusalsRepeat is set, are the last requests that the next hop said on it that it did not run.
+	refused        []string
+	refusalsRepeat bool
+}
+
+// maxRefused is the number of refusals that a connection remembers, more than come on it
+// while a request is sent again.
+const maxRefused = 64
+
+// noteRefused takes note of an answer that says that a request did not run.
+func (c *conn) noteRefused(id string) {
+	if !c.refusalsRepeat {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.refused) == maxRefused {
+		c.refused = c.refused[1:]
+	}
+	c.refused = append(c.refused, id)
+}
+
+// hasRefused reports whether a request was refused on the connection. A second copy of that
+// refusal would pass for the next answer to it.
+func (c *conn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.refused, id)
 }
 
 // Write implements net.Conn.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -114,7 +114,7 @@
 // have an absolute URL and, if any, a *Body. A returned error is a *verdict.Error.
 func Send(ctx context.Context, t http.RoundTripper, req *http.Request, check func() *verdict.Error) (*http.Response, error) {
 	preventReplay(req)
-	x := &exchange{ctx: ctx, check: check}
+	x := &exchange{ctx: ctx, id: req.Header.Get(headerRequestID), check: check}
 	x.body, _ = req.Body.(*Body)
 	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
@@ -130,13 +130,15 @@
 		resp.Body.Close()
 		return nil, x.refused
 	}
-	id := req.Header.Get(headerRequestID)
-	if got := resp.Header.Get(headerRequestID); got != id {
+	if got := resp.Header.Get(headerRequestID); got != x.id {
 		x.close()
 		resp.Body.Close()
 		return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway,
 			Reason: verdict.ReasonForeignAnswer, Detail: "answer carries another request id"}
 	}
+	if v, ok := verdict.Parse(resp.Header.Get(verdict.Header)); ok && v == verdict.NotRun && x.conn != nil {
+		x.conn.noteRefused(x.id)
+	}
 	return resp, nil
 }
 
@@ -163,6 +165,7 @@
 
 type exchange struct {
 	ctx      context.Context
+	id       string // of the request
 	check    func() *verdict.Error
 	body     *Body
 	conn     *conn
@@ -190,6 +193,8 @@
 		return verdict.Unavailable(reason, detail)
 	case callerconn.Left(x.ctx):
 		return verdict.Unavailable(verdict.ReasonCancelled, "the caller went away before the request was sent")
+	case x.conn != nil && x.conn.hasRefused(x.id):
+		return verdict.Unavailable(verdict.ReasonConnectionLost, "the request was refused on this connection, which is closed")
 	case x.check == nil:
 		return nil
 	}
