--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -99,7 +99,8 @@
 	writes int
 	sealed bool
 	body   *Body // of the request that the connection carries
-	// refused, kept if refusalsRepeat is set, are the last requests that the next hop said on it that it did not run.
+	// refused are the last requests that the next hop said on it that it did not run. They
+	// are kept if refusalsRepeat is set.
 	refused        []string
 	refusalsRepeat bool
 }
--- a/internal/replication/turn.go
+++ b/internal/replication/turn.go
@@ -26,17 +26,19 @@
 // turn is the progress of a Node's goroutine, for others to see.
 type turn struct {
 	stage atomic.Int32
-	since atomic.Int64 // Unix nanoseconds
+	since atomic.Int64 // nanoseconds since processStart, so that steps of the wall clock do not matter
 }
 
+var processStart = time.Now()
+
 func (t *turn) enter(s Stage) {
 	t.stage.Store(int32(s))
-	t.since.Store(time.Now().UnixNano())
+	t.since.Store(int64(time.Since(processStart)))
 }
 
 // Turn returns the stage of the node's goroutine and how long it has been in it. It takes
 // at least one turn a tick, so a longer time means that it is held up.
 func (n *Node) Turn() (Stage, time.Duration) {
 	t := &n.driver.turn
-	return Stage(t.stage.Load()), time.Since(time.Unix(0, t.since.Load()))
+	return Stage(t.stage.Load()), time.Since(processStart) - time.Duration(t.since.Load())
 }
