A host that starts earns its retries

The bound is that of all hosts together. A host's budget began full, with the bound divided by the hosts in its table; the first tables after a loss of all hosts list few of them, so the first hosts took the bound of many, beside what the processes before had spent.

TestRestartsBringNoFurtherRetries failed before: 40 hosts that start one after the other with tables that list those before them.

Tests of the gateway that send again fill the budget first, as requests before them would.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -17,6 +17,12 @@
 	return &Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
+// NewEarnedBudget returns a budget that starts empty. Where all processes together have a
+// bound, one that starts again must not get a second burst.
+func NewEarnedBudget(ratio, burst float64) *Budget {
+	return &Budget{ratio: ratio, burst: burst}
+}
+
 // SetBurst changes the most extra requests in a row.
 func (b *Budget) SetBurst(burst float64) {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/gateway/budget_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatestep/agatestep/internal/table"
+)
+
+// All hosts are killed and start again within one window, and their first tables list few of the
+// others. Guards against a second burst of retries for each, and against shares that add up to
+// several times the bound that all hosts have together.
+func TestRestartsBringNoFurtherRetries(t *testing.T) {
+	is := is.New(t)
+	const hosts, requests = 40, 20
+	spent, sent := 0, 0
+	spend := func(w *world) {
+		b := w.gateway.budget("desk")
+		for range requests {
+			b.OnRequest()
+			sent++
+			for b.TrySpend() {
+				spent++
+			}
+		}
+	}
+	limits := newWorld(t).gateway.cfg.Limits
+	for joined := range hosts {
+		w := newWorld(t)
+		clear(w.gateway.budgets) // of a process that has just started
+		listed := 0
+		list := func(n int) {
+			w.change(func(b *table.Builder) {
+				for ; listed < n; listed++ {
+					b.PutHost(table.Host{Name: fmt.Sprint("h", listed)})
+				}
+			})
+		}
+		list(joined + 1) // those that have joined before this host
+		spend(w)
+		list(hosts)
+		spend(w)
+	}
+	is.True(float64(spent) <= limits.RetryRatio*float64(sent)+limits.RetryBurst)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -313,7 +313,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = balance.NewBudget(g.cfg.Limits.RetryRatio, g.burst())
+		b = balance.NewEarnedBudget(g.cfg.Limits.RetryRatio, g.burst())
 		g.budgets[service] = b
 	}
 	return b
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,9 +55,20 @@
 	w.server.Config.ConnContext = callerconn.Context
 	w.server.Start()
 	t.Cleanup(w.server.Close)
+	w.earnRetries()
 	return w
 }
 
+// earnRetries fills the budgets for sending again, as requests before the test would.
+func (w *world) earnRetries() {
+	limits := w.gateway.cfg.Limits
+	for _, service := range []string{"desk", "vault"} {
+		for range int(limits.RetryBurst / limits.RetryRatio) {
+			w.gateway.budget(service).OnRequest()
+		}
+	}
+}
+
 // Desks implements Permits.
 func (w *world) Desks(b *table.Backend) []Desk {
 	return append([]Desk{{Host: b.Dispatcher}}, w.desks...)
