--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,8 +19,11 @@
 // cases are the scripts by name. Each reports whether the rule was broken; trouble tells
 // whether to inject the disruption.
 var cases = map[string]func(rec *record, root string, trouble bool) (broken bool, err error){
-	"late-restore": lateRestore,
-	"hangup":       hangupInStop,
+	"late-restore":        lateRestore,
+	"hangup":              hangupInStop,
+	"late-after-election": lateAfterElection,
+	"late-report":         lateReport,
+	"foreign-report":      foreignReport,
 }
 
 func main() {
