A new leader counts no release before the leases of earlier leaders have expired

Two heartbeats of a server, sent before it had been granted any keys, reached the new leader late. It granted the server's keys to others while the server worked on them, with up to 2.9 s of its lease left.

Cause: a release is shown by a heartbeat whose reply leaves a key out and a later one that does not list it. That proves something only if the later one was sent after every reply that granted the key. One leader knows the order of its replies; a new leader has no record of those of earlier ones, and took any two heartbeats in sequence for a proof.

Ruled out: a loss that is decided too early (the keys passed on 0.4 s after the election, a loss needs 3.6 s) and a grant by the old leader (it was dead). The leader's log said only "slices granted"; "slices released" now names the process, the sequence and the revision.

A heartbeat that lists a key takes back a release concluded from earlier heartbeats.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -117,7 +117,13 @@
 	if b := t.Backend(hb.Service, hb.Backend); b != nil && b.Lost && b.Born == hb.Born && !l.leaseTracker.ConfirmRecovery(now, hb) {
 		return false, nil
 	}
-	return l.leaseTracker.Observe(now, hb, t.SlicesOf(hb.Service, hb.Backend)), nil
+	seen := l.leaseTracker.Observe(now, hb, t.SlicesOf(hb.Service, hb.Backend))
+	if seen.Released > 0 {
+		l.cfg.Logger.Info("slices released", zap.String("backend", hb.Backend), zap.Int64("born", hb.Born), zap.Uint64("sequence", hb.Sequence),
+			zap.Int("slices", seen.Released), zap.Uint64("revision", t.Revision()),
+			zap.Duration("grantable_in", max(0, l.leaseTracker.EarlierLeasesEnd().Sub(now))))
+	}
+	return seen.Newest, nil
 }
 
 // recordHeartbeat commits the changes that a heartbeat reports. done is set with the
@@ -156,7 +162,7 @@
 func (l *Leader) grantReleased(ctx context.Context, hb *wire.Heartbeat) {
 	t := l.cfg.State.Table()
 	l.mu.Lock()
-	starts, epochs := l.leaseTracker.ReleasedTo(hb.Service, hb.Backend, t.AllSlices(hb.Service))
+	starts, epochs := l.leaseTracker.ReleasedTo(l.cfg.Clock.Now(), hb.Service, hb.Backend, t.AllSlices(hb.Service))
 	l.mu.Unlock()
 	if len(starts) == 0 {
 		return
--- a/internal/control/pending_moves.go
+++ b/internal/control/pending_moves.go
@@ -116,11 +116,17 @@
 	return backend, ok
 }
 
-// startDueMoves commits the moves that start with the reply to this heartbeat.
+// startDueMoves commits the moves that start with the reply to this heartbeat. A new leader
+// starts none before it can confirm releases, because the keys would not be served until
+// then.
 func (l *Leader) startDueMoves(ctx context.Context, hb *wire.Heartbeat) {
 	t := l.cfg.State.Table()
 	l.mu.Lock()
 	now := l.cfg.Clock.Now()
+	if now.Before(l.leaseTracker.EarlierLeasesEnd()) {
+		l.mu.Unlock()
+		return
+	}
 	moves := l.pendingMoves.takeDue(t, hb.Service, hb.Backend, now, func(backend string) (time.Time, bool) {
 		b := t.Backend(hb.Service, backend)
 		if b == nil {
--- a/internal/keylease/doc.go
+++ b/internal/keylease/doc.go
@@ -6,5 +6,6 @@
 // A lease counts from when the heartbeat was sent, on a clock that may run slow.
 // A slice goes to another owner only when a later heartbeat of the same process
 // no longer lists it, or when the longest lease that any leader may have granted has
-// expired.
+// expired. A new leader does not know which heartbeats earlier leaders have answered, so
+// releases count for it only once the leases of earlier leaders have expired.
 package keylease
--- a/internal/keylease/tracker.go
+++ b/internal/keylease/tracker.go
@@ -89,9 +89,18 @@
 // may forward its heartbeat more than once in that time.
 const retryWindow = time.Second
 
-// Observe records a heartbeat. It reports whether the heartbeat is the newest of its
-// process or a retry of that one; an older heartbeat renews and releases nothing.
-func (tr *Tracker) Observe(now time.Time, hb *wire.Heartbeat, slices []table.Slice) (newest bool) {
+// Observation is what a heartbeat showed.
+type Observation struct {
+	// Newest is set if the heartbeat is the newest of its process or a retry of that one;
+	// an older heartbeat renews and releases nothing.
+	Newest bool
+	// Released is the number of moving slices that the process has released by this
+	// heartbeat.
+	Released int
+}
+
+// Observe records a heartbeat.
+func (tr *Tracker) Observe(now time.Time, hb *wire.Heartbeat, slices []table.Slice) Observation {
 	ref := table.BackendRef{Service: hb.Service, Name: hb.Backend}
 	p := tr.processes[ref]
 	switch {
@@ -99,30 +108,45 @@
 		p = &process{born: hb.Born, lastGrant: tr.electedAt, omitted: map[uint64]omission{}}
 		tr.processes[ref] = p
 	case p.lossDecided, p.born > hb.Born, hb.Sequence < p.sequence:
-		return false
+		return Observation{}
 	case hb.Sequence == p.sequence:
-		return now.Sub(p.lastHeartbeat) <= retryWindow
+		return Observation{Newest: now.Sub(p.lastHeartbeat) <= retryWindow}
 	}
 	p.sequence, p.lastHeartbeat = hb.Sequence, now
-	tr.detectReleased(p, hb, slices)
-	return true
+	return Observation{Newest: true, Released: tr.detectReleased(p, hb, slices)}
 }
 
+// EarlierLeasesEnd returns when the leases that earlier leaders granted have certainly
+// expired. Until then, a heartbeat that does not list a key is no proof that its sender
+// does not hold it: it may have been delayed since before an earlier leader granted the
+// key. Only the heartbeats that this leader has answered are in a known order with its
+// grants.
+func (tr *Tracker) EarlierLeasesEnd() time.Time { return tr.electedAt.Add(tr.cfg.maxLeaseDuration()) }
+
 // detectReleased records the moving slices that the process has released: a reply left
-// them out, and a heartbeat after that reply does not list them.
-func (tr *Tracker) detectReleased(p *process, hb *wire.Heartbeat, slices []table.Slice) {
+// them out, and a heartbeat after that reply does not list them. It returns their number.
+// The records count from EarlierLeasesEnd on.
+func (tr *Tracker) detectReleased(p *process, hb *wire.Heartbeat, slices []table.Slice) (released int) {
 	moving := map[uint64]bool{}
 	for _, s := range slices {
 		if s.State != table.SliceReleasing {
 			continue
 		}
 		moving[s.Start] = true
-		o, ok := p.omitted[s.Start]
-		if ok && o.epoch == s.Epoch && hb.Sequence > o.sequence && !overlaps(hb.Held, s) {
-			key := sliceKey{hb.Service, s.Start}
-			if old, known := tr.released[key]; !known || old.epoch != s.Epoch {
-				tr.released[key] = releasedSlice{epoch: s.Epoch, handover: releasedToken(hb.Released, s)}
+		key := sliceKey{hb.Service, s.Start}
+		old, known := tr.released[key]
+		known = known && old.epoch == s.Epoch
+		if overlaps(hb.Held, s) {
+			// An earlier heartbeat that did not list the slice was sent before the grant.
+			if known {
+				delete(tr.released, key)
 			}
+			continue
+		}
+		o, ok := p.omitted[s.Start]
+		if ok && o.epoch == s.Epoch && hb.Sequence > o.sequence && !known {
+			tr.released[key] = releasedSlice{epoch: s.Epoch, handover: releasedToken(hb.Released, s)}
+			released++
 		}
 	}
 	for start := range p.omitted {
@@ -130,6 +154,7 @@
 			delete(p.omitted, start)
 		}
 	}
+	return released
 }
 
 func overlaps(ranges []wire.KeyRange, s table.Slice) bool {
@@ -153,8 +178,8 @@
 
 // ReleasedTo returns the slices moving to a backend server that their old owners have
 // released, so that they may be granted.
-func (tr *Tracker) ReleasedTo(service, to string, all func(yield func(table.Slice) bool)) (starts, epochs []uint64) {
-	if len(tr.released) == 0 {
+func (tr *Tracker) ReleasedTo(now time.Time, service, to string, all func(yield func(table.Slice) bool)) (starts, epochs []uint64) {
+	if len(tr.released) == 0 || now.Before(tr.EarlierLeasesEnd()) {
 		return nil, nil
 	}
 	all(func(s table.Slice) bool {
--- a/internal/keylease/tracker_test.go
+++ b/internal/keylease/tracker_test.go
@@ -12,7 +12,11 @@
 
 const leaseDuration = 3 * time.Second
 
-var electedAt = time.Unix(1000, 0)
+var (
+	electedAt = time.Unix(1000, 0)
+	// confirmable is when the leases of earlier leaders have expired.
+	confirmable = electedAt.Add(leaseDuration + leaseDuration/50)
+)
 
 func newTracker() *Tracker {
 	return NewTracker(Config{LeaseDuration: leaseDuration, MaxClockDrift: 0.02, MaxRanges: 100}, electedAt)
@@ -50,28 +54,60 @@
 	s := movingSlice(0, 9, 7, "b2")
 	held := wire.KeyRange{First: 0, Last: 9, Epoch: 7}
 	releasedCount := func() int {
-		starts, _ := tracker.ReleasedTo("desk", "b2", sliceSeq(s))
+		starts, _ := tracker.ReleasedTo(confirmable, "desk", "b2", sliceSeq(s))
 		return len(starts)
 	}
 	// A heartbeat without the key proves nothing by itself: it may be stale.
-	is.True(tracker.Observe(electedAt, heartbeat(4), []table.Slice{s}))
+	is.True(tracker.Observe(electedAt, heartbeat(4), []table.Slice{s}).Newest)
 	is.Equal(releasedCount(), 0)
 	_, ok := tracker.Grant(electedAt, heartbeat(4), []table.Slice{s})
 	is.True(ok)
-	is.True(!tracker.Observe(electedAt, heartbeat(3), []table.Slice{s})) // sent before that reply
+	is.True(!tracker.Observe(electedAt, heartbeat(3), []table.Slice{s}).Newest) // sent before that reply
 	is.Equal(releasedCount(), 0)
-	is.True(tracker.Observe(electedAt, heartbeat(5, held), []table.Slice{s})) // still serves it
+	is.True(tracker.Observe(electedAt, heartbeat(5, held), []table.Slice{s}).Newest) // still serves it
 	is.Equal(releasedCount(), 0)
 	done := heartbeat(6)
 	done.Released = []wire.KeyRange{{First: 0, Last: 9, Handover: "token"}}
-	is.True(tracker.Observe(electedAt, done, []table.Slice{s}))
+	is.True(tracker.Observe(electedAt, done, []table.Slice{s}).Newest)
 	is.Equal(releasedCount(), 1)
-	_, epochs := tracker.ReleasedTo("desk", "b2", sliceSeq(s))
+	_, epochs := tracker.ReleasedTo(confirmable, "desk", "b2", sliceSeq(s))
 	is.Equal(epochs, []uint64{7})
-	other, _ := tracker.ReleasedTo("desk", "b3", sliceSeq(s))
+	other, _ := tracker.ReleasedTo(confirmable, "desk", "b3", sliceSeq(s))
 	is.Equal(len(other), 0)
 }
 
+// Guards against a release that is taken from heartbeats that an earlier leader may have
+// answered with a grant since.
+func TestReleaseCountsOnceLeasesOfEarlierLeadersHaveExpired(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker()
+	s := movingSlice(0, 9, 7, "b2")
+	tracker.Observe(electedAt, heartbeat(1), []table.Slice{s})
+	tracker.Grant(electedAt, heartbeat(1), []table.Slice{s})
+	is.Equal(tracker.Observe(electedAt, heartbeat(2), []table.Slice{s}), Observation{Newest: true, Released: 1})
+	starts, _ := tracker.ReleasedTo(confirmable.Add(-1), "desk", "b2", sliceSeq(s))
+	is.Equal(len(starts), 0)
+	starts, _ = tracker.ReleasedTo(confirmable, "desk", "b2", sliceSeq(s))
+	is.Equal(starts, []uint64{0})
+}
+
+// Guards against a release, taken from heartbeats before the grant, that still counts after
+// the owner has reported that it holds the slice.
+func TestHeldSliceIsNotReleasedByEarlierReports(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker()
+	s := movingSlice(0, 9, 7, "b2")
+	tracker.Observe(electedAt, heartbeat(1), []table.Slice{s})
+	tracker.Grant(electedAt, heartbeat(1), []table.Slice{s})
+	tracker.Observe(electedAt, heartbeat(2), []table.Slice{s})
+	tracker.Observe(electedAt, heartbeat(7, wire.KeyRange{First: 0, Last: 9, Epoch: 7}), []table.Slice{s})
+	starts, _ := tracker.ReleasedTo(confirmable, "desk", "b2", sliceSeq(s))
+	is.Equal(len(starts), 0)
+	tracker.Observe(confirmable, heartbeat(8), []table.Slice{s})
+	starts, _ = tracker.ReleasedTo(confirmable, "desk", "b2", sliceSeq(s))
+	is.Equal(starts, []uint64{0})
+}
+
 // Guards against a next owner that does not get the handover token of the previous
 // owner, and against a token that is sent endlessly.
 func TestTokenIsSentUntilTheNextOwnerHoldsTheSlice(t *testing.T) {
@@ -104,11 +140,11 @@
 	tracker.Observe(electedAt, heartbeat(1), []table.Slice{s})
 	tracker.Grant(electedAt, heartbeat(1), []table.Slice{s})
 	tracker.Observe(electedAt, heartbeat(2), []table.Slice{s})
-	starts, _ := tracker.ReleasedTo("desk", "b2", sliceSeq(s))
+	starts, _ := tracker.ReleasedTo(confirmable, "desk", "b2", sliceSeq(s))
 	is.Equal(len(starts), 1)
 	tracker.RecordGrant("desk", starts, 12)
 	s = table.Slice{Start: 0, Last: 9, Owner: "b2", Next: "b3", Epoch: 12, State: table.SliceReleasing}
-	starts, _ = tracker.ReleasedTo("desk", "b3", sliceSeq(s))
+	starts, _ = tracker.ReleasedTo(confirmable, "desk", "b3", sliceSeq(s))
 	is.Equal(len(starts), 0)
 }
 
@@ -141,7 +177,7 @@
 			continue
 		}
 		// The commit of the loss may be in flight when the process sends a heartbeat.
-		if tracker.Observe(electedAt.Add(c.at), heartbeat(2), nil) {
+		if tracker.Observe(electedAt.Add(c.at), heartbeat(2), nil).Newest {
 			t.Errorf("%s: heartbeat accepted after its loss was decided", name)
 		}
 		if _, ok := tracker.Grant(electedAt.Add(c.at), heartbeat(2), nil); ok {
@@ -155,15 +191,15 @@
 func TestHeartbeatOfEarlierProcessIsIgnored(t *testing.T) {
 	is := is.New(t)
 	tracker := newTracker()
-	is.True(tracker.Observe(electedAt, heartbeat(1), nil))
+	is.True(tracker.Observe(electedAt, heartbeat(1), nil).Newest)
 	old := heartbeat(100)
 	old.Born = 4
-	is.True(!tracker.Observe(electedAt, old, nil))
+	is.True(!tracker.Observe(electedAt, old, nil).Newest)
 	_, ok := tracker.Grant(electedAt, old, nil)
 	is.True(!ok)
 	fresh := heartbeat(1) // its sequence starts again
 	fresh.Born = 6
-	is.True(tracker.Observe(electedAt, fresh, nil))
+	is.True(tracker.Observe(electedAt, fresh, nil).Newest)
 	_, ok = tracker.Grant(electedAt, heartbeat(1), nil)
 	is.True(!ok)
 }
