SIGHUP is received until the process exits, also during a graceful stop

Cause: watchSettings returned when the context of the graceful stop ended, and its deferred signal.Stop gave SIGHUP its default action back, which ends the process. Ruled out by the exit status ("signal: hangup"): a panic in the reload and a forced stop.

Change: signals are received from the first line of the run command until the process exits. During the stop SIGHUP is logged and ignored. On related paths: a signal while the process starts no longer ends it, and a settings file that changes during the start is noticed, because the watcher compares with the content that was loaded.

--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -44,7 +42,12 @@
 // Run serves until SIGTERM or SIGINT arrives, then stops gracefully. A second signal
 // ends the process without waiting for backend servers to answer requests in flight.
 func (c *runCmd) Run(adapter daemon.Adapter) error {
-	s, err := settings.Load(c.Settings)
+	received := receiveSignals()
+	content, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return errors.Annotate(err, "reading settings")
+	}
+	s, err := settings.LoadContent(c.Settings, content)
 	if err != nil {
 		return err
 	}
@@ -58,8 +61,13 @@
 		return err
 	}
 	applyMemoryLimits(s.Memory)
-	ctx, forceStop := signalContexts()
-	go watchSettings(ctx, c.Settings, logger, p)
+	return serve(p, received, settingsFile{path: c.Settings, content: content}, logger)
+}
+
+// serve runs a process until a signal stops it, and reloads its settings file.
+func serve(p runner, received signals, file settingsFile, logger *zap.Logger) error {
+	ctx, forceStop := received.stopContexts()
+	go file.watch(ctx, received.hangup, logger, p)
 	return p.Run(ctx, forceStop)
 }
 
@@ -98,22 +106,6 @@
 	}
 }
 
-// signalContexts returns a context that ends with the first SIGTERM or SIGINT and one
-// that ends with the second.
-func signalContexts() (gracefulStop, forceStop context.Context) {
-	gracefulStop, stopGracefully := context.WithCancel(context.Background())
-	forceStop, stopAtOnce := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		stopGracefully()
-		<-signals
-		stopAtOnce()
-	}()
-	return gracefulStop, forceStop
-}
-
 // Run parses the command line, runs the command and returns the exit code. The adapter is
 // for hosts with one role.
 func Run(args []string, adapter daemon.Adapter) int {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -39,6 +39,12 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "reading settings")
 	}
+	return LoadContent(path, content)
+}
+
+// LoadContent does what Load does with the content of the file at path, which was read
+// before.
+func LoadContent(path string, content []byte) (*Settings, error) {
 	s, d := parse(path, content)
 	if s != nil {
 		s.resolvePaths(filepath.Dir(path))
