Calls to drain or restore a data centre are redirected to the leader, not forwarded

A control host that had been frozen passed on an older call to restore it, which its caller had given up and sent elsewhere.

Cause: the call has no version, and any host forwarded it as a new command, however long it had waited in the host's socket. Ruled out: a call that waited at the leader, and a second drain that is taken for a repetition (the log of the host that resumed has the call, with a revision above the drain's).

The leader checks right before each try to commit that its caller is connected. All calls of operators and backend servers whose callers have disconnected before the call is handled are dropped, logged and counted (agatestep_abandoned_calls), on the listener for calls and on the administration API.

--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -1,5 +1,6 @@
 // Package controlapi defines the API of a control host for adapters of a platform's
-// protocol. Any control host serves it; those that are not the leader forward the calls.
+// protocol. Any control host serves it; those that are not the leader forward the calls, or
+// redirect their callers.
 package controlapi
 
 import (
@@ -20,6 +21,15 @@
 	ErrUnavailable = errors.ConstError("no leader confirmed the call in time")
 )
 
+// RedirectError means that the caller must send the call to another host itself. Nothing
+// has changed.
+type RedirectError struct {
+	Address string // IP:port of the listener for calls on the leader
+}
+
+// Error implements error.
+func (e *RedirectError) Error() string { return "the leader at " + e.Address + " serves this call" }
+
 // API serves backend servers and operators.
 type API interface {
 	// Heartbeat and Deregister handle the heartbeats and deregistrations of backend
@@ -34,6 +44,8 @@
 	PatchItems(ctx context.Context, patch []items.Item) error
 	// ReadItems returns the items in force with the operators' documents.
 	ReadItems(ctx context.Context) ([]items.Item, error)
-	// DrainDataCentre takes a data centre out of service, or restores it.
+	// DrainDataCentre takes a data centre out of service, or restores it. The call has no
+	// version, so that a host cannot tell an old one, which waited somewhere, from a new one.
+	// It is therefore not forwarded: hosts that are not the leader return a RedirectError.
 	DrainDataCentre(ctx context.Context, name string, out bool) error
 }
--- a/internal/daemon/controlcalls.go
+++ b/internal/daemon/controlcalls.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/agatestep/agatestep/internal/callerconn"
 	"github.com/agatestep/agatestep/internal/command"
 	"github.com/agatestep/agatestep/internal/controlapi"
 	"github.com/agatestep/agatestep/internal/items"
@@ -30,6 +31,9 @@
 	maxLeaderBackoff = 480 * time.Millisecond
 )
 
+// errNoLeaderKnown means that this host knew no leader during the whole call.
+var errNoLeaderKnown = errors.WithType(errors.New("no leader is known"), controlapi.ErrUnavailable)
+
 // commandTimeout returns how long an operator's encoded command may take.
 func commandTimeout(encoded []byte) time.Duration {
 	if len(encoded) >= largeCommandBytes {
@@ -46,7 +50,7 @@
 	callLocal func(context.Context, P) (R, error), isFinal func(R) bool) (reply R, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err = errors.WithType(errors.New("no leader is known"), controlapi.ErrUnavailable)
+	err = errNoLeaderKnown
 	backoff := minLeaderBackoff
 	for ctx.Err() == nil {
 		leader, leaderChange := h.knownLeader.get()
@@ -125,23 +129,65 @@
 
 // DrainDataCentre implements controlapi.API.
 func (h *ControlHost) DrainDataCentre(ctx context.Context, name string, out bool) error {
-	drain := &command.Drain{RequestID: rand.Text(), Kind: command.DrainDataCentre, Name: name, Out: out}
-	return h.commitOperatorCommand(ctx, "data centre drained or restored", &command.Command{Drain: drain}, zap.String("data_centre", name), zap.Bool("out", out))
+	c := &command.Command{Drain: &command.Drain{RequestID: rand.Text(), Kind: command.DrainDataCentre, Name: name, Out: out}}
+	encoded, err := c.Encode()
+	if err != nil {
+		return errors.WithType(err, controlapi.ErrRefused)
+	}
+	reply, err := h.commitAsLeader(ctx, wire.Proposal{Command: encoded}, h.handleOperatorCommand)
+	return h.operatorOutcome("data centre drained or restored", reply, err, zap.String("data_centre", name), zap.Bool("out", out))
+}
+
+// commitAsLeader commits an operator's command that has no version, if this host is the
+// leader, and returns a RedirectError otherwise. It commits nothing for a caller that has
+// disconnected while the call waited.
+func (h *ControlHost) commitAsLeader(ctx context.Context, proposal wire.Proposal,
+	commit func(context.Context, wire.Proposal) (wire.ProposalReply, error)) (reply wire.ProposalReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = errNoLeaderKnown
+	for backoff := minLeaderBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxLeaderBackoff) {
+		leader, leaderChange := h.knownLeader.get()
+		switch {
+		case leader.address == "":
+		case !leader.isThisHost:
+			return reply, &controlapi.RedirectError{Address: h.HeartbeatAddress(leader.address)}
+		case callerconn.Disconnected(ctx):
+			return reply, errors.New("the caller has disconnected")
+		default:
+			attemptCtx, endAttempt := mergeContexts(ctx, leaderChange)
+			reply, err = commit(attemptCtx, proposal)
+			endAttempt()
+			if err == nil && isApplied(reply) {
+				return reply, nil
+			}
+		}
+		awaitLeaderChange(ctx, leaderChange, backoff)
+	}
+	return reply, err
 }
 
 // commitOperatorCommand commits an operator's command and logs the result. A command may
-// be committed twice: versions or request ids identify a duplicate.
+// be committed twice: versions identify a duplicate.
 func (h *ControlHost) commitOperatorCommand(ctx context.Context, logMessage string, c *command.Command, fields ...zap.Field) error {
 	encoded, err := c.Encode()
 	if err != nil {
 		return errors.WithType(err, controlapi.ErrRefused)
 	}
-	applied := func(r wire.ProposalReply) bool { return r.Status == wire.ProposalApplied && r.Result != nil }
-	reply, err := callLeader(ctx, h, commandTimeout(encoded), wire.MethodOperatorCommand, wire.Proposal{Command: encoded}, h.handleOperatorCommand, applied)
+	reply, err := callLeader(ctx, h, commandTimeout(encoded), wire.MethodOperatorCommand, wire.Proposal{Command: encoded}, h.handleOperatorCommand, isApplied)
+	return h.operatorOutcome(logMessage, reply, err, fields...)
+}
+
+func isApplied(r wire.ProposalReply) bool { return r.Status == wire.ProposalApplied && r.Result != nil }
+
+// operatorOutcome returns the outcome of an operator's command and logs it.
+func (h *ControlHost) operatorOutcome(logMessage string, reply wire.ProposalReply, err error, fields ...zap.Field) error {
+	var redirect *controlapi.RedirectError
 	switch {
+	case errors.As(err, &redirect):
 	case err != nil:
 		err = errors.WithType(err, controlapi.ErrUnavailable)
-	case !applied(reply):
+	case !isApplied(reply):
 		err = errors.WithType(errors.Errorf("%s: %s", reply.Status, reply.Reason), controlapi.ErrUnavailable)
 	case reply.Result.Code != command.ResultOK:
 		err = errors.WithType(errors.New(reply.Result.Detail), controlapi.ErrRefused)
--- a/internal/daemon/controlhost.go
+++ b/internal/daemon/controlhost.go
@@ -80,8 +80,8 @@
 	}
 	h.registerMethods()
 	go func() { _ = h.peerServer.Serve(h.listeners[listenPeer], h.serverTLS) }() // ends with its listener
-	h.serveHTTP(listenControl, h.adapter.ControlHandler(h, h.logger), nil)
-	h.serveHTTP(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
+	h.serveCalls(listenControl, h.adapter.ControlHandler(h, h.logger), nil)
+	h.serveCalls(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
 	h.background.Go(func() { h.leader.Run(loopCtx) })
 	h.background.Go(func() { h.joinLoop(loopCtx) })
 	h.background.Go(func() { h.memberLoop(loopCtx) })
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -145,7 +145,7 @@
 	go func() { _ = h.peerServer.Serve(h.listeners[listenPeer], h.serverTLS) }() // ends with its listener
 	callerServer := h.serveCallers()
 	h.serveHTTP(listenReadiness, h.adapter.ReadinessHandler(h.ready), nil)
-	h.serveHTTP(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
+	h.serveCalls(listenAdmin, admin.NewHandler(h.adminDaemon(), token), h.serverTLS)
 	h.background.Go(func() { h.session.Run(loopCtx) })
 	h.background.Go(func() { h.cleanupLoop(loopCtx) })
 	h.background.Go(func() { h.connectLoop(loopCtx) })
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -117,6 +117,11 @@
 	return p.serveListener(name, listener, handler)
 }
 
+// serveCalls serves calls of operators and backend servers.
+func (p *process) serveCalls(name string, handler http.Handler, config *tls.Config) *http.Server {
+	return p.serveHTTP(name, p.dropAbandoned(handler), config)
+}
+
 func (p *process) serveListener(name string, listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
--- a/internal/daemon/processmetrics.go
+++ b/internal/daemon/processmetrics.go
@@ -27,6 +27,7 @@
 	watchDelays *latency.Histograms
 	renewals    *expvar.Int // session renewals handled
 	proposals   *expvar.Int // proposals handled
+	abandoned   *expvar.Int // calls dropped because their callers had disconnected
 	events      *expvar.Map // timeline events, by kind
 }
 
@@ -38,6 +39,7 @@
 		revision:    expvar.NewInt("agatestep_table_revision"),
 		renewals:    expvar.NewInt("agatestep_session_renewals"),
 		proposals:   expvar.NewInt("agatestep_proposals"),
+		abandoned:   expvar.NewInt("agatestep_abandoned_calls"),
 		events:      expvar.NewMap("agatestep_events"),
 		watchDelays: latency.New(),
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -51,7 +51,7 @@
 	d.serveHTTP(listenTraffic, d.entry, nil)
 	d.serveHTTP(listenBackends, backends, nil)
 	d.serveHTTP(listenRelay, d.dispatcher.RelayHandler(), d.serverTLS)
-	d.serveHTTP(listenAdmin, admin.NewHandler(d, token), d.serverTLS)
+	d.serveCalls(listenAdmin, admin.NewHandler(d, token), d.serverTLS)
 	return nil
 }
 
