The deregistration of a lost server is recorded before it is acknowledged

Cause: recordLeaving returned success without committing anything if the server was recorded as lost. A loss is undone by heartbeats that show that the process is alive; an announcement that it leaves is final. Ruled out: a record that is taken back (the leader logged none) and a new leader (it did not change).

Change: the announcement is committed; the server stays lost, and no late heartbeat makes it available. The same for an announcement in a heartbeat before the recovery is confirmed, and for one of a server that nothing is recorded of.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -81,7 +81,11 @@
 	l.cfg.Logger.Info("late heartbeat renews nothing", zap.String("backend", hb.Backend), zap.Int64("born", hb.Born),
 		zap.Uint64("sequence", hb.Sequence), zap.Bool("leaving", hb.Leaving))
 	b := l.cfg.State.Table().Backend(hb.Service, hb.Backend)
-	if hb.Leaving && b != nil && b.Born == hb.Born {
+	switch {
+	case !hb.Leaving:
+	case b == nil || b.Born < hb.Born:
+		return wire.HeartbeatReply{Reason: "the backend server is not known"}
+	case b.Born == hb.Born:
 		if err := l.recordLeaving(ctx, b); err != nil {
 			return wire.HeartbeatReply{Reason: err.Error()}
 		}
@@ -89,20 +93,23 @@
 	return wire.HeartbeatReply{Acked: true}
 }
 
-// recordLeaving commits that a backend server leaves, unless it is already recorded as
-// leaving or lost.
+// recordLeaving commits that a backend server leaves, unless that is already recorded. The
+// record of a loss is not enough: heartbeats may still show that a lost server is alive.
 func (l *Leader) recordLeaving(ctx context.Context, b *table.Backend) error {
-	if b.Leaving || b.Lost {
+	if b.Leaving {
 		return nil
 	}
 	res, err := l.commit(ctx, command.Command{BackendReported: &command.BackendReported{
 		Service: b.Service, Backend: b.Name, Born: b.Born, DataCentre: b.DataCentre, Address: b.Address,
 		Slots: b.Slots, Cold: b.Cold, Leaving: true}})
-	if err != nil {
+	switch {
+	case err != nil:
 		return errors.Annotate(err, "recording the end")
+	case res.Code != command.ResultOK && res.Code != command.ResultStale: // stale: the process was replaced
+		return errors.Errorf("recording the end: %s", res.Detail)
 	}
 	l.cfg.Logger.Info("backend server deregistered", zap.String("backend", b.Name), zap.String("service", b.Service),
-		zap.Int64("born", b.Born), zap.String("result", string(res.Code)), zap.Uint64("revision", res.Revision))
+		zap.Int64("born", b.Born), zap.Bool("lost", b.Lost), zap.String("result", string(res.Code)), zap.Uint64("revision", res.Revision))
 	return nil
 }
 
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -12,7 +12,8 @@
 // returns the servers whose processes were replaced: an address serves one process
 // at a time, so a process that started later replaces whatever was at its address
 // or had its name. It returns ErrInvalid when a field is not valid, and ErrStale
-// when the process itself was replaced.
+// when the process itself was replaced. A process that is lost and announces that it
+// leaves stays lost; the announcement is kept, so that no late heartbeat undoes it.
 func (f *Fleet) RecordHeartbeat(r *command.BackendReported, index uint64) (replaced []table.BackendRef, err error) {
 	ref := table.BackendRef{Service: r.Service, Name: r.Backend}
 	if err := checkReport(r); err != nil {
@@ -23,6 +24,13 @@
 		return nil, stalef("backend server %s/%s: the process born at %d was replaced by one born at %d",
 			r.Service, r.Backend, r.Born, old.Born)
 	}
+	if old != nil && old.Lost && old.Born == r.Born && r.Leaving {
+		if !old.Leaving {
+			old.Leaving = true
+			f.changedBackends[ref] = true
+		}
+		return nil, nil
+	}
 	others, err := f.replacedAtAddress(ref, r)
 	if err != nil {
 		return nil, err
