--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -52,6 +52,8 @@
 	// Opened counts the connections that were opened, Reused the requests that got an idle
 	// one.
 	Opened, Reused atomic.Int64
+	// largeHeads is the size in bytes of the large heads of responses in flight.
+	largeHeads atomic.Int64
 
 	// dialFunc is dialTCP except in tests.
 	dialFunc func(ctx context.Context, address string) (net.Conn, error)
@@ -318,20 +320,15 @@
 	return err
 }
 
-const (
-	// maxForeign bounds the responses to other requests that are skipped.
-	maxForeign = 3
-	// maxHeadBytes bounds all input before the body of the response: interim responses,
-	// heads, and the bodies of responses to other requests.
-	maxHeadBytes = 1 << 20
-)
+// maxForeign bounds the responses to other requests that are skipped.
+const maxForeign = 3
 
 var errForeignResponse = errors.New("the answer carries no or another request id")
 
 // readOwnResponse returns the response to this request. Responses with another id, which a
 // faulty backend server repeats or sends late, are read and dropped.
 func (x *exchange) readOwnResponse() (*http.Response, error) {
-	x.conn.input.remaining = maxHeadBytes
+	x.conn.input.remaining = maxInputBytes
 	defer func() { x.conn.input.remaining = noLimit }()
 	for range maxForeign + 1 {
 		resp, err := x.readResponse()
@@ -354,11 +351,22 @@
 }
 
 func (x *exchange) readResponse() (*http.Response, error) {
+	in, br := x.conn.input, x.conn.br
 	for {
-		if err := x.awaitResponse(); err != nil {
+		buffered, err := br.Peek(br.Buffered())
+		if err == nil {
+			err = in.beginHead(buffered)
+		}
+		if err == nil {
+			err = x.awaitResponse()
+		}
+		if err != nil {
 			return nil, err
 		}
-		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
+		resp, err := http.ReadResponse(br, &http.Request{Method: x.req.Method})
+		if in.exceeded {
+			return nil, errTooMuchData // the parser may report the line that was cut off instead
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -378,6 +386,7 @@
 // data is not sent.
 func (x *exchange) abandon() {
 	x.stopWatch()
+	x.conn.input.release()
 	x.conn.dropUnsent()
 	x.conn.discard()
 }
@@ -415,9 +424,11 @@
 		return nil
 	}
 	if !x.stopWatch() {
+		x.conn.input.release()
 		x.conn.discard()
 		return nil
 	}
+	x.conn.input.release()
 	x.conn.release(x.client.cfg.Clock.Now(), keep)
 	return nil
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -27,7 +25,7 @@
 type conn struct {
 	net.Conn
 	pool  *pool
-	input *boundedReader // what br reads from
+	input *responseInput // what br reads from
 	br    *bufio.Reader
 	bw    *bufio.Writer
 	// keepUntil is when the backend server may close the connection while it is idle.
@@ -39,32 +37,6 @@
 	userTimeout time.Duration
 }
 
-// noLimit removes the bound of a boundedReader.
-const noLimit = -1
-
-// errTooMuchData means that a server sent more than maxHeadBytes before the body of the
-// response.
-var errTooMuchData = errors.New("the server sent too many bytes that are no answer")
-
-// boundedReader fails with errTooMuchData once a number of bytes was read.
-type boundedReader struct {
-	r         io.Reader
-	remaining int // bytes, or noLimit
-}
-
-// Read implements io.Reader.
-func (b *boundedReader) Read(p []byte) (int, error) {
-	if b.remaining == noLimit {
-		return b.r.Read(p)
-	}
-	if b.remaining == 0 {
-		return 0, errTooMuchData
-	}
-	n, err := b.r.Read(p[:min(len(p), b.remaining)])
-	b.remaining -= n
-	return n, err
-}
-
 // pool holds the idle connections to one address, the most recently used one last.
 type pool struct {
 	address string
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -213,7 +213,7 @@
 		p.addOpen(-1)
 		return nil, err
 	}
-	input := &boundedReader{r: raw, remaining: noLimit}
+	input := &responseInput{r: raw, remaining: noLimit, largeHeads: &c.largeHeads}
 	return &conn{Conn: raw, pool: p, input: input, br: bufio.NewReaderSize(input, readBufferBytes), bw: bufio.NewWriterSize(raw, writeBufferBytes)}, nil
 }
 
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"runtime"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,3 +89,62 @@
 	<-written
 	is.NoErr(resp.Body.Close())
 }
+
+// maxLiveHeads bounds the memory that the heads of all responses in flight may hold.
+const maxLiveHeads = 48 << 20
+
+// liveHeap returns the bytes of the heap that are in use.
+func liveHeap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// A faulty server answers many requests at once with heads of countless short fields and then
+// falls silent. Guards against a host that holds all of them, each in some twenty times its
+// size, until it runs out of memory, and the requests of all other callers end with it.
+func TestHeadsInFlightHoldBoundedMemory(t *testing.T) {
+	is := is.New(t)
+	address := startBackend(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for i := 0; err == nil && i < 90_000; i++ {
+			_, err = fmt.Fprintf(c, "H%07x:\r\n", i)
+		}
+		_, _ = io.Copy(io.Discard, r) // until the client closes
+	})
+	before := liveHeap()
+	client, ctx := newClient(), context.Background()
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	var requests sync.WaitGroup
+	for i := range 64 {
+		requests.Go(func() {
+			_, failure := client.Do(ctx, request(address, strconv.Itoa(i)))
+			if failure == nil || failure.Reason != verdict.ReasonForeignAnswer {
+				t.Errorf("failure %v", failure)
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		requests.Wait()
+		close(done)
+	}()
+	for {
+		if held := liveHeap(); held > before+maxLiveHeads {
+			cancel()
+			<-done
+			t.Fatalf("%d MiB are held", (held-before)>>20)
+		}
+		select {
+		case <-done:
+			is.NoErr(ctx.Err())
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
