The end of a stop bounds the time of the requests that a host still serves

Cause: a request kept the whole time of its caller and route while its host stopped; nothing compared it with the time that the host had left.

Change: the gateway knows when the stop ends its requests. What is left to a request, what servers and permit issuers are told, and whether it is sent at all follow from it. A request that cannot be answered in time is refused at once as not run, so that its caller can go to another host.

Tests: TestStoppingHostSendsNothingThatItCannotAnswer and TestStoppingHostPassesOnTheTimeOfTheStop failed on the code before.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -125,9 +125,9 @@
 		c.pendingConn = g.client.PrepareConn(b.Address, g.maxConnections(c.service))
 	}
 	request := wire.PermitRequest{Service: b.Service, Backend: b.Name, Born: b.Born, ID: rand.Uint64() | 1, Rank: c.match.Priority,
-		TargetMs: c.arrived.Add(c.match.Target).Sub(now).Milliseconds(), LeftMs: c.timeLeft(now).Milliseconds(),
+		TargetMs: c.arrived.Add(c.match.Target).Sub(now).Milliseconds(), LeftMs: g.timeLeft(c, now).Milliseconds(),
 		ServiceMs: g.serviceTimesOf(c.service).mean(c.match.Name).Milliseconds()}
-	timeout := permitTimeout(c.timeLeft(now))
+	timeout := permitTimeout(g.timeLeft(c, now))
 	request.PollMs = int64(permitPollShare * float64(timeout.Milliseconds()))
 	withdraw := func() {
 		g.cfg.Permits.ReleasePermit(host, wire.PermitRelease{Service: b.Service, Backend: b.Name, Born: b.Born, ID: request.ID})
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,8 +52,6 @@
 	return now.Sub(c.writtenAt)
 }
 
-func (c *call) timeLeft(now time.Time) time.Duration { return c.deadline.Sub(now) }
-
 // bodyReadStarted reports whether reading the body has begun. The call may be nil.
 func (c *call) bodyReadStarted() bool { return c != nil && c.body != nil && c.body.started.Load() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/agatestep/agatestep/internal/stop"
 	"github.com/agatestep/agatestep/internal/table"
 	"github.com/agatestep/agatestep/internal/upstream"
+	"github.com/agatestep/agatestep/internal/verdict"
 	"github.com/agatestep/agatestep/internal/wire"
 )
 
@@ -121,6 +122,7 @@
 	bodyReadRate      *rate.Limiter
 	bufferedBodyBytes atomic.Int64
 	stopping          atomic.Bool
+	stopEnd           atomic.Pointer[time.Time] // when a stop of this host ends its requests
 	rejecting         atomic.Bool
 	calls             *stop.Calls
 	lastRequest       atomic.Int64 // Unix nanoseconds of the last request
@@ -172,8 +174,32 @@
 }
 
 // StartShutdown makes the gateway report that it is not ready and close the connections
-// of callers with its next responses. It goes on serving requests.
-func (g *Gateway) StartShutdown() { g.stopping.Store(true) }
+// of callers with its next responses. It goes on serving requests that can be answered before
+// end, when EndRequests will be called.
+func (g *Gateway) StartShutdown(end time.Time) {
+	g.stopEnd.Store(&end)
+	g.stopping.Store(true)
+}
+
+// timeLeft returns the time in which a call can be answered: until its deadline or the end of
+// the stop of this host, whichever is first.
+func (g *Gateway) timeLeft(c *call, now time.Time) time.Duration {
+	left := c.deadline.Sub(now)
+	if end := g.stopEnd.Load(); end != nil {
+		left = min(left, end.Sub(now))
+	}
+	return left
+}
+
+// tooLateForStop returns a refusal if this host stops before a backend server can be expected
+// to answer the call.
+func (g *Gateway) tooLateForStop(c *call, now time.Time) *verdict.Error {
+	end := g.stopEnd.Load()
+	if end == nil || end.Sub(now) >= g.serviceTimesOf(c.service).mean(c.match.Name) {
+		return nil
+	}
+	return verdict.Unavailable(verdict.ReasonShutdown, "this host stops before the request could be answered")
+}
 
 // InFlight returns the number of requests that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -423,7 +423,7 @@
 	w.configure()
 	w.startBackend("desk", "b1", respondHello)
 	w.setOwner("b1", 9)
-	w.gateway.StartShutdown()
+	w.gateway.StartShutdown(time.Now().Add(time.Minute))
 	is.True(!w.gateway.Ready())
 	req := httptest.NewRequest("GET", "http://127.0.0.1/read/x", nil)
 	req.Header.Set(wire.HeaderRequestID, "r1")
--- a/internal/gateway/requestend_test.go
+++ b/internal/gateway/requestend_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -277,6 +278,45 @@
 	is.Equal(w.requestsReceived(), 1)
 }
 
+// Guards against requests that are sent so late in a stop that they are cut off by its end: an
+// order may then have run, and its caller may not repeat it elsewhere.
+func TestStoppingHostSendsNothingThatItCannotAnswer(t *testing.T) {
+	for name, path := range map[string]string{"with a permit": "/book/x", "by estimate": "/scan/x"} {
+		t.Run(name, func(t *testing.T) {
+			is, w := is.New(t), newHarness(t)
+			w.configure()
+			w.startBackend("desk", "b1", respondHello)
+			w.startBackend("vault", "v1", respondHello)
+			w.setOwner("b1", 9)
+			w.gateway.StartShutdown(time.Now().Add(initialServiceTime / 2))
+			began := time.Now()
+			status, _, header := w.send("POST", path, strings.NewReader("order"))
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.Equal(header.Get(verdict.Header), verdict.NotRun.String())
+			is.True(time.Since(began) < time.Second) // its caller can repeat it elsewhere
+			is.Equal(w.requestsReceived(), 0)
+		})
+	}
+}
+
+// Guards against a backend server that works on a request longer than this host can wait for
+// its answer, because it was told the time of the caller and not that of the stop.
+func TestStoppingHostPassesOnTheTimeOfTheStop(t *testing.T) {
+	is, w := is.New(t), newHarness(t)
+	w.configure()
+	var left time.Duration
+	w.startBackend("vault", "v1", func(rw http.ResponseWriter, r *http.Request) {
+		ms, err := strconv.ParseInt(r.Header.Get(wire.HeaderTimeoutMs), 10, 64)
+		is.NoErr(err)
+		left = time.Duration(ms) * time.Millisecond
+		respondHello(rw, r)
+	})
+	w.gateway.StartShutdown(time.Now().Add(time.Second))
+	status, _, _ := w.send("POST", "/scan/x", strings.NewReader("order"))
+	is.Equal(status, http.StatusOK)
+	is.True(left > 0 && left <= time.Second)
+}
+
 // Guards against callers that keep their connections after the response to a request that was in
 // flight when the shutdown began: their next request would find the connection closed.
 func TestResponsesDuringShutdownCloseConnections(t *testing.T) {
@@ -285,13 +325,13 @@
 			is, w := is.New(t), newHarness(t)
 			w.configure()
 			w.startBackend("vault", "v1", func(rw http.ResponseWriter, r *http.Request) {
-				w.gateway.StartShutdown()
+				w.gateway.StartShutdown(time.Now().Add(time.Minute))
 				respondHello(rw, r)
 			})
 			w.startBackend("desk", "b1", respondHello)
 			w.setOwner("b1", 9)
 			w.permit = wire.PermitReply{State: wire.PermitRefused}
-			w.onPermitRequest = w.gateway.StartShutdown
+			w.onPermitRequest = func() { w.gateway.StartShutdown(time.Now().Add(time.Minute)) }
 			req, err := http.NewRequest("GET", w.server.URL+path, nil)
 			is.NoErr(err)
 			req.Header.Set(wire.HeaderRequestID, "r1")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -104,9 +104,12 @@
 
 // tryOnce chooses the target of a call, acquires the admission to send to it, and sends it.
 func (g *Gateway) tryOnce(ctx context.Context, c *call, budget *balance.Budget) stepResult {
-	if refusal := g.awaitFreshTable(ctx, c.timeLeft(g.cfg.Clock.Now())); refusal != nil {
+	if refusal := g.awaitFreshTable(ctx, g.timeLeft(c, g.cfg.Clock.Now())); refusal != nil {
 		return finishWith(c.finalResult(refusal, staleTableRetryAfter))
 	}
+	if refusal := g.tooLateForStop(c, g.cfg.Clock.Now()); refusal != nil {
+		return finishWith(c.finalResult(refusal, minRetryAfter))
+	}
 	t, refusal, delay := g.chooseTarget(c)
 	switch {
 	case refusal != nil:
@@ -225,7 +228,7 @@
 }
 
 func (g *Gateway) demand(c *call, now time.Time) backlog.Demand {
-	return backlog.Demand{ServiceTime: g.serviceTimesOf(c.service).mean(c.match.Name), TimeLeft: c.timeLeft(now), Rank: c.match.Priority, Ranks: priorityLevels}
+	return backlog.Demand{ServiceTime: g.serviceTimesOf(c.service).mean(c.match.Name), TimeLeft: g.timeLeft(c, now), Rank: c.match.Priority, Ranks: priorityLevels}
 }
 
 // priorityLevels is the number of distinct priorities; routes with a lower priority count
@@ -315,7 +318,11 @@
 		req.Body = c.body.reader()
 	}
 	req.BeforeWrite = func(h http.Header) *verdict.Error {
-		left := c.timeLeft(g.cfg.Clock.Now())
+		now := g.cfg.Clock.Now()
+		if refusal := g.tooLateForStop(c, now); refusal != nil {
+			return refusal
+		}
+		left := g.timeLeft(c, now)
 		if left <= 0 {
 			return verdict.Unavailable(verdict.ReasonDeadline, "the time is over before the request was sent")
 		}
@@ -323,7 +330,7 @@
 			return refusal
 		}
 		g.cfg.Dialect.SetTarget(h, t.backend.Name, left)
-		c.writtenAt = g.cfg.Clock.Now()
+		c.writtenAt = now
 		return nil
 	}
 	c.tried[keyOf(t.backend)] = true
