--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,3 +109,18 @@
 	is.NoErr(l.Close())
 	is.Equal(<-failed, net.ErrClosed)
 }
+
+// Guards against a log that shows no bytes where a close would lose some.
+func TestQueuedBytes(t *testing.T) {
+	s := startRequest(t, "12345", false)
+	raw, ok := s.request.Context().Value(connKey{}).(syscall.RawConn)
+	s.is.True(ok)
+	_, err := io.WriteString(s.caller, "1234567890")
+	s.is.NoErr(err)
+	for began := time.Now(); time.Since(began) < maxDetectionTime; time.Sleep(time.Millisecond) {
+		if unread, unsent, ok := QueuedBytes(raw); ok && unread >= 10 && unsent == 0 {
+			return
+		}
+	}
+	t.Error("the unread bytes are not seen")
+}
--- a/internal/callerconn/closed_linux.go
+++ b/internal/callerconn/closed_linux.go
@@ -27,3 +27,14 @@
 	})
 	return happened, err
 }
+
+// QueuedBytes returns the bytes that have arrived on a connection and were not read, and those
+// that were written and not acknowledged by the peer. ok is false if they are unknown.
+func QueuedBytes(raw syscall.RawConn) (unread, unsent int, ok bool) {
+	var readErr, writeErr error
+	err := raw.Control(func(fd uintptr) {
+		unread, readErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		unsent, writeErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return unread, unsent, err == nil && readErr == nil && writeErr == nil
+}
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -49,12 +51,8 @@
 func (l *callerListener) closeIdle() {
 	l.mu.Lock()
 	l.closingIdle = true
-	var snapshot []*callerConn
-	for c := range l.conns {
-		snapshot = append(snapshot, c)
-	}
 	l.mu.Unlock()
-	for _, c := range snapshot {
+	for _, c := range l.snapshot() {
 		c.closeIfIdle()
 	}
 }
@@ -66,6 +64,38 @@
 	return len(l.conns)
 }
 
+// openConn describes an open connection of a caller in the log.
+type openConn struct {
+	Caller  string `json:"caller"`
+	Serving bool   `json:"serving"` // a request is served
+	// Unread and Unsent are the bytes in the queues of the kernel, or -1 if they are unknown.
+	Unread int `json:"unread"`
+	Unsent int `json:"unsent"`
+}
+
+// maxLoggedConns bounds the connections that one log line describes.
+const maxLoggedConns = 8
+
+// describeOpen describes some of the open connections.
+func (l *callerListener) describeOpen() []openConn {
+	out := []openConn{}
+	for _, c := range l.snapshot() {
+		if len(out) == maxLoggedConns {
+			break
+		}
+		out = append(out, c.describe())
+	}
+	return out
+}
+
+// snapshot returns the open connections. They are used without l.mu, which is locked after
+// their own mutex.
+func (l *callerListener) snapshot() []*callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.conns))
+}
+
 func (l *callerListener) isClosingIdle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -200,6 +230,18 @@
 	return c.Conn.Close()
 }
 
+func (c *callerConn) describe() openConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := openConn{Caller: c.Conn.RemoteAddr().String(), Serving: c.serving, Unread: -1, Unsent: -1}
+	if raw, err := c.SyscallConn(); err == nil {
+		if unread, unsent, ok := callerconn.QueuedBytes(raw); ok {
+			out.Unread, out.Unsent = unread, unsent
+		}
+	}
+	return out
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.underlying.(syscall.Conn)
--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -222,10 +222,15 @@
 	h.callerConns.closeIdle()
 	h.awaitCallers(forceStop, deadline)
 	if left := h.gateway.InFlight(); left > 0 {
-		h.logger.Warn("requests are ended with the stop", zap.Int64("in_flight", left))
+		h.logger.Warn("requests are ended with the stop", zap.Int64("in_flight", left), zap.Duration("after", h.clock.Now().Sub(began)),
+			zap.Any("open", h.callerConns.describeOpen()))
 	}
 	h.gateway.EndRequests()
 	h.awaitCallers(context.Background(), earlier(deadline, h.clock.Now()).Add(stop.AnswerTimeout))
+	if open := h.callerConns.describeOpen(); len(open) > 0 {
+		h.logger.Warn("connections are still open after the answers", zap.Int64("in_flight", h.gateway.InFlight()), zap.Duration("after", h.clock.Now().Sub(began)),
+			zap.Any("open", open))
+	}
 	ctx, cancel := context.WithTimeout(forceStop, serverCloseTimeout)
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
