--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -15,6 +15,7 @@
 // cases are the cases by name. A case returns what breaks its rule.
 var cases = map[string]func(*run) []string{
 	"unreadable-report": unreadableReport,
+	"truncated-answer":  truncatedAnswer,
 }
 
 func main() {
--- a/review/standins/run.go
+++ b/review/standins/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -51,16 +52,16 @@
 // portsPerHost is the number of ports of a host.
 const portsPerHost = 5
 
+// Range of the first port: below the ports that outgoing connections use.
+const (
+	minPort = 15000
+	maxPort = 30000
+)
+
 // freePorts returns the first of portsPerHost ports that are free.
 func freePorts() (int, error) {
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.1.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		if port+portsPerHost < 1<<16 && allFree(port) {
+	for range 500 {
+		if port := minPort + rand.IntN(maxPort-minPort); allFree(port) {
 			return port, nil
 		}
 	}
@@ -106,10 +107,10 @@
 // close ends the stand-ins and all processes.
 func (r *run) close() {
 	close(r.done)
+	r.wg.Wait()
 	for _, h := range append(append([]*host{}, r.entries...), r.controls...) {
 		h.kill()
 	}
-	r.wg.Wait()
 	_ = r.record.Close()
 	_ = os.RemoveAll(r.folder)
 }
@@ -214,13 +215,18 @@
 // key, and a route to it.
 func (r *run) configure() {
 	const version = "00000001"
-	body, err := json.Marshal(map[string]any{"upsert": map[string]any{
+	r.patch(map[string]any{"upsert": map[string]any{
 		"routes": map[string]any{"r-book": map[string]any{"host": "shop.example", "path_prefix": "/book/", "route_type": "unsafe", "timeout_ms": 2000,
 			"target_latency_ms": 500, "priority": 1, "service": "desk", "max_attempts": 2, "version": version}},
 		"services": map[string]any{"desk": map[string]any{"health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false, "warmup_s": 3,
 			"warmup_per_s": 18, "sharded": true, "warm_s": 2, "grants": "heartbeat", "version": version}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "version": version},
 	}, "remove": map[string]any{"routes": []any{}}})
+}
+
+// patch sends a change of the configuration until it is acknowledged.
+func (r *run) patch(change map[string]any) {
+	body, err := json.Marshal(change)
 	require(err == nil, "encoding the configuration: %v", err)
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, c := range r.controls {
