--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -45,6 +45,7 @@
 		}
 	}()
 	broken := play(r)
+	r.stopStandIns()
 	for _, b := range broken {
 		r.note("BROKEN: %s", b)
 	}
--- a/review/standins/run.go
+++ b/review/standins/run.go
@@ -30,6 +30,8 @@
 	record *os.File
 	wg     sync.WaitGroup
 	done   chan struct{}
+
+	stopOnce sync.Once
 }
 
 func newRun(daemon, recordPath string, trouble bool) (*run, error) {
@@ -104,10 +106,15 @@
 	}
 }
 
+// stopStandIns ends the stand-ins. It may be called more than once.
+func (r *run) stopStandIns() {
+	r.stopOnce.Do(func() { close(r.done) })
+	r.wg.Wait()
+}
+
 // close ends the stand-ins and all processes.
 func (r *run) close() {
-	close(r.done)
-	r.wg.Wait()
+	r.stopStandIns()
 	for _, h := range append(append([]*host{}, r.entries...), r.controls...) {
 		h.kill()
 	}
