--- a/review/standins/platform/main.go
+++ b/review/standins/platform/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(*run) []string{
 	"unreadable-report": unreadableReport,
 	"truncated-answer":  truncatedAnswer,
+	"unreadable-change": unreadableChange,
 }
 
 func main() {
--- a/review/standins/platform/truncated_answer.go
+++ b/review/standins/platform/truncated_answer.go
@@ -222,13 +222,18 @@
 	const version = "00000001"
 	routes, services := map[string]any{}, map[string]any{}
 	for _, name := range []string{"photos", "stock"} {
-		routes["r-"+name] = map[string]any{"host": "shop.example", "path_prefix": "/" + name + "/", "route_type": "safe", "timeout_ms": 4000,
-			"target_latency_ms": 500, "priority": 1, "service": name, "max_attempts": 2, "version": version}
+		routes["r-"+name] = route(name, name, version)
 		services[name] = map[string]any{"health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false, "warmup_s": 3, "warmup_per_s": 18, "version": version}
 	}
 	r.patch(map[string]any{"upsert": map[string]any{"routes": routes, "services": services}, "remove": map[string]any{"routes": []any{}}})
 }
 
+// route returns a route of reads below a path to a service.
+func route(path, service, version string) map[string]any {
+	return map[string]any{"host": "shop.example", "path_prefix": "/" + path + "/", "route_type": "safe", "timeout_ms": 4000,
+		"target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "version": version}
+}
+
 // awaitReads waits until reads of both services are served.
 func (r *run) awaitReads() {
 	client := http.Client{Timeout: 3 * time.Second}
