--- a/review/standins/platform/truncated_answer.go
+++ b/review/standins/platform/truncated_answer.go
@@ -34,13 +34,13 @@
 	truncates        bool
 	mu               sync.Mutex
 	answered, broken int
-	ran              map[string]bool
+	ran              map[string]time.Time // when each request was answered, zero while it runs
 }
 
 func (r *run) startPlainServer(service, name string, truncates bool) *plainServer {
 	l, err := net.Listen("tcp", "127.0.3.1:0")
 	require(err == nil, "opening a listener: %v", err)
-	s := &plainServer{r: r, service: service, name: name, address: l.Addr().String(), truncates: truncates, ran: map[string]bool{}}
+	s := &plainServer{r: r, service: service, name: name, address: l.Addr().String(), truncates: truncates, ran: map[string]time.Time{}}
 	web := &http.Server{Handler: s}
 	go func() { _ = web.Serve(l) }()
 	r.goDo(func() {
@@ -74,7 +74,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.ran[id] = true
+	s.ran[id] = time.Time{}
 	s.answered++
 	truncate := s.r.trouble && s.truncates && s.answered%truncatedEvery == 0
 	if truncate {
@@ -86,10 +86,17 @@
 	if s.service != "photos" {
 		time.Sleep(5 * time.Millisecond)
 		fmt.Fprint(w, "answer to ", id)
+		s.mu.Lock()
+		s.ran[id] = time.Now()
+		s.mu.Unlock()
 		return
 	}
 	time.Sleep(20 * time.Millisecond)
 	w.Header().Set("Content-Length", fmt.Sprint(largeAnswer))
+	if s.r.answerSlowly.Load() {
+		s.writeSlowly(w)
+		return
+	}
 	if !truncate {
 		_, _ = io.WriteString(w, strings.Repeat("p", largeAnswer))
 		return
@@ -103,7 +110,29 @@
 func (s *plainServer) hasRun(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ran[id]
+	_, ok := s.ran[id]
+	return ok
+}
+
+// endOf returns when a request was answered, if it was.
+func (s *plainServer) endOf(id string) (at time.Time, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at = s.ran[id]
+	return at, !at.IsZero()
+}
+
+// writeSlowly writes most of a large answer at once and the rest over longAnswerTime.
+func (s *plainServer) writeSlowly(w http.ResponseWriter) {
+	const pieces = 10
+	_, _ = io.WriteString(w, strings.Repeat("p", largePart))
+	for range pieces {
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(longAnswerTime / pieces)
+		if _, err := io.WriteString(w, strings.Repeat("p", (largeAnswer-largePart)/pieces)); err != nil {
+			return
+		}
+	}
 }
 
 // truncatedAnswer lets one of two services truncate a few of its answers, while callers send reads
@@ -167,14 +196,14 @@
 }
 
 func read(path, id string) string {
-	return fmt.Sprintf("GET /%s/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\n\r\n", path, id)
+	return fmt.Sprintf("GET /%s/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\n\r\n", path, id)
 }
 
 // sendReads sends a read of photos and some of stock behind it, and returns the ids of those that
 // were not answered because the connection was closed. The first time, it makes the connection a
 // kept one.
 func (r *run) sendReads(c *keptConn, id string) (unanswered []string) {
-	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(readTimeout + time.Second))
 	if !c.served {
 		if !r.sendOn(c, read("stock", id+"-first")) || !r.receiveOn(c, id+"-first") {
 			return nil
@@ -230,7 +259,7 @@
 
 // route returns a route of reads below a path to a service.
 func route(path, service, version string) map[string]any {
-	return map[string]any{"host": "shop.example", "path_prefix": "/" + path + "/", "route_type": "safe", "timeout_ms": 4000,
+	return map[string]any{"host": "shop.example", "path_prefix": "/" + path + "/", "route_type": "safe", "timeout_ms": readTimeout.Milliseconds(),
 		"target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "version": version}
 }
 
