--- a/review/standins/platform/run.go
+++ b/review/standins/platform/run.go
@@ -42,14 +42,15 @@
 	if err != nil {
 		return nil, err
 	}
-	folder, err := os.MkdirTemp("", "review")
+	port, err := freePorts()
 	if err != nil {
 		return nil, err
 	}
-	r := &run{trouble: trouble, began: time.Now(), folder: folder, daemon: daemon, record: record, done: make(chan struct{})}
-	if r.port, err = freePorts(); err != nil {
+	folder, err := os.MkdirTemp("", "review")
+	if err != nil {
 		return nil, err
 	}
+	r := &run{trouble: trouble, began: time.Now(), folder: folder, daemon: daemon, port: port, record: record, done: make(chan struct{})}
 	r.note("trouble: %t", trouble)
 	return r, nil
 }
