Log and count what the retry budget is charged for, and where misdirected requests went

Now 'attempt charged to the retry budget' has the address, what is left of the host's share and the share; 'attempt not run' and 'attempt failed' have the address, and the former how long ago the server itself answered there. Counters: repeats and refused repeats by service, misdirected responses to first attempts and repeats. No logic is changed.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -48,3 +48,10 @@
 	b.tokens--
 	return true
 }
+
+// Left returns how many extra requests the budget allows now, and how many at most.
+func (b *Budget) Left() (tokens, burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens, b.burst
+}
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -15,6 +15,12 @@
 	SentAhead *expvar.Int
 	// Outcomes counts requests by kind and outcome, Refusals by reason.
 	Outcomes, Refusals *expvar.Map
+	// Repeats and RepeatsRefused count attempts beyond the first of their request, by the service
+	// whose retry budget they were charged to, and those that the budget did not allow.
+	Repeats, RepeatsRefused *expvar.Map
+	// Misdirected counts the responses that say that a request was meant for another server, to
+	// a first attempt and to a repeat.
+	Misdirected *expvar.Map
 	// Unkeyed counts how requests without keys got their server, while permits are in use.
 	Unkeyed *expvar.Map
 	// HeldEnded counts requests that were ended because this host holds too many bytes, by
@@ -29,16 +35,19 @@
 
 func newCounters() *Counters {
 	c := &Counters{
-		Requests:  expvar.NewInt("agatestep_gateway_requests"),
-		SentAhead: expvar.NewInt("agatestep_gateway_sent_ahead"),
-		Retries:   expvar.NewInt("agatestep_gateway_retries"),
-		Opened:    expvar.NewInt("agatestep_gateway_connections_opened"),
-		Reused:    expvar.NewInt("agatestep_gateway_connections_reused"),
-		Outcomes:  expvar.NewMap("agatestep_gateway_outcomes"),
-		Refusals:  expvar.NewMap("agatestep_gateway_refusals"),
-		Unkeyed:   expvar.NewMap("agatestep_gateway_unkeyed"),
-		HeldEnded: expvar.NewMap("agatestep_gateway_held_ended"),
-		latencies: latency.New(),
+		Requests:       expvar.NewInt("agatestep_gateway_requests"),
+		SentAhead:      expvar.NewInt("agatestep_gateway_sent_ahead"),
+		Retries:        expvar.NewInt("agatestep_gateway_retries"),
+		Opened:         expvar.NewInt("agatestep_gateway_connections_opened"),
+		Reused:         expvar.NewInt("agatestep_gateway_connections_reused"),
+		Outcomes:       expvar.NewMap("agatestep_gateway_outcomes"),
+		Refusals:       expvar.NewMap("agatestep_gateway_refusals"),
+		Repeats:        expvar.NewMap("agatestep_gateway_repeats"),
+		RepeatsRefused: expvar.NewMap("agatestep_gateway_repeats_refused"),
+		Misdirected:    expvar.NewMap("agatestep_gateway_misdirected"),
+		Unkeyed:        expvar.NewMap("agatestep_gateway_unkeyed"),
+		HeldEnded:      expvar.NewMap("agatestep_gateway_held_ended"),
+		latencies:      latency.New(),
 	}
 	expvar.Publish("agatestep_gateway_latency_ms", c.latencies)
 	expvar.Publish("agatestep_gateway_held_bytes", expvar.Func(c.heldBytes))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -149,13 +149,31 @@
 		g.releasePermit(t.backend, decision, 0)
 		return nil, finishWith(c.finalResult(refusal, retryAfter))
 	}
-	if c.sends > 0 && !budget.TrySpend() {
+	if refusal := g.spendRetry(c, t.backend, budget); refusal != nil {
 		g.releasePermit(t.backend, decision, 0)
-		return nil, finishWith(c.finalResult(verdict.Unavailable(verdict.ReasonOverloaded, "the retry budget is used up"), minRetryAfter))
+		return nil, finishWith(c.finalResult(refusal, minRetryAfter))
 	}
 	return &decision, stepResult{}
 }
 
+// spendRetry charges an attempt beyond the first to the retry budget of the call's service. It
+// returns a refusal if the budget is used up.
+func (g *Gateway) spendRetry(c *call, b *table.Backend, budget *balance.Budget) *verdict.Error {
+	if c.sends == 0 {
+		return nil
+	}
+	allowed := budget.TrySpend()
+	left, burst := budget.Left()
+	g.cfg.Logger.Info("attempt charged to the retry budget", append(c.logFields(), zap.String("backend", b.Name), zap.String("address", b.Address),
+		zap.Bool("allowed", allowed), zap.Float64("left", left), zap.Float64("burst", burst))...)
+	if allowed {
+		g.counters.Repeats.Add(c.service, 1)
+		return nil
+	}
+	g.counters.RepeatsRefused.Add(c.service, 1)
+	return verdict.Unavailable(verdict.ReasonOverloaded, "the retry budget is used up")
+}
+
 // sendAdmitted sends an admitted call and decides what follows its response or failure.
 func (g *Gateway) sendAdmitted(ctx context.Context, c *call, t target, admitted admission) stepResult {
 	resp, failure, nextAction := g.attempt(ctx, c, t, admitted)
@@ -359,7 +377,7 @@
 // handleFailure records an attempt that got no response and decides what follows.
 func (g *Gateway) handleFailure(c *call, t target, s *server, e *verdict.Error) action {
 	now := g.cfg.Clock.Now()
-	g.cfg.Logger.Info("attempt failed", append(c.logFields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
+	g.cfg.Logger.Info("attempt failed", append(c.logFields(), zap.String("backend", t.backend.Name), zap.String("address", t.backend.Address), zap.Uint64("epoch", t.slice.Epoch),
 		zap.String("verdict", e.Verdict.String()), zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail), zap.Duration("written_ago", c.timeSinceWrite(now)), zap.Duration("link_queue", g.cfg.Link.QueueDelay()),
 		logging.NamedError("cause", e.Cause))...)
 	if e.Reason == verdict.ReasonCancelled || e.Reason == verdict.ReasonDeadline || e.Reason == verdict.ReasonShutdown {
@@ -412,6 +430,9 @@
 		s.backlog.RecordReport(now, *info.Load)
 	}
 	s.slowDials = 0
+	if !info.Misdirected {
+		s.ownAnswerAt = now
+	}
 	s.backlog.RecordOutcome(now, !info.Misdirected && resp.StatusCode >= http.StatusInternalServerError)
 	s.mu.Unlock()
 	c.recordOutcome(info, resp.StatusCode, now)
@@ -480,12 +501,22 @@
 	e := verdict.Unavailable(verdict.ReasonBackendRefused, "the backend server did not run the request: status "+strconv.Itoa(status))
 	if info.Misdirected {
 		e.Reason, e.Detail = verdict.ReasonMoved, "the backend server does not hold the key"
+		g.counters.Misdirected.Add(c.attemptKind(), 1)
 		c.misdirected[t.slice.Epoch]++
 	}
-	g.cfg.Logger.Info("attempt not run", append(c.logFields(), zap.String("backend", t.backend.Name), zap.Uint64("epoch", t.slice.Epoch),
+	g.cfg.Logger.Info("attempt not run", append(c.logFields(), zap.String("backend", t.backend.Name), zap.String("address", t.backend.Address), zap.Uint64("epoch", t.slice.Epoch),
 		zap.String("slice_owner", t.slice.Owner), zap.Int("status", status), zap.String("reason", string(e.Reason)),
+		zap.Duration("since_own_answer", g.server(t.backend).sinceOwnAnswer(g.cfg.Clock.Now())),
 		zap.Uint64("revision", g.cfg.Tables().Revision()), zap.Duration("table_age", g.tableAge()))...)
 	return e
 }
 
+// attemptKind names the last attempt of a call in counters.
+func (c *call) attemptKind() string {
+	if c.sends > 1 {
+		return "repeat"
+	}
+	return "first"
+}
+
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/internal/gateway/servicepermit.go
+++ b/internal/gateway/servicepermit.go
@@ -105,9 +105,9 @@
 		g.releaseServicePermit(c, d.grant)
 		return finishWith(c.finalResult(refusal, retryAfter)), true
 	}
-	if c.sends > 0 && !budget.TrySpend() {
+	if refusal := g.spendRetry(c, d.backend, budget); refusal != nil {
 		g.releaseServicePermit(c, d.grant)
-		return finishWith(c.finalResult(verdict.Unavailable(verdict.ReasonOverloaded, "the retry budget is used up"), minRetryAfter)), true
+		return finishWith(c.finalResult(refusal, minRetryAfter)), true
 	}
 	return g.sendAdmitted(ctx, c, target{backend: d.backend}, admission{service: d.grant}), true
 }
