Send only trials to addresses that another process may have taken over

Callers of one service repeated their requests at addresses that the table still named for servers that had ended, and that processes of another service had taken over.

Cause: what a misdirected response shows was forgotten with the request, so that the next request, on every host, went to the same address again, twice; and a repeat is charged to the service that the caller asked for, whoever gets it.

Change: each entry host remembers for each process of a server whether it may no longer be at its address. Such a server gets single first attempts as trials, and one repeat that is charged to all services; other requests are refused at once.

--- a/internal/daemon/entryhost.go
+++ b/internal/daemon/entryhost.go
@@ -124,6 +124,7 @@
 			LeaveGracePeriod:   time.Duration(drainTimeShare * float64(d.DrainTime)),
 			DrainGracePeriod:   time.Duration(evacuateTimeShare * float64(d.EvacuateTime)),
 			MaxTableAge:        maxTableAge(d),
+			AddressReuseAfter:  d.AddressReuseAfter,
 			BodyBytesPerSecond: bodyLinkShare * bytesPerMbit * cfg.Limits.LinkMbps},
 	}
 	if h.allowances != nil { // a nil client in the interface would not be nil
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,6 +30,8 @@
 	// sends counts the attempts to send the request to a backend server, possibleRuns those
 	// that a server may have run.
 	sends, possibleRuns int
+	// sendKind is what the next or last attempt is to its server.
+	sendKind sendKind
 	// writtenAt is when the request was last handed to a connection.
 	writtenAt time.Time
 	// fallback is an error response of a backend server to an earlier attempt, worstFailure
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -21,6 +21,9 @@
 	// Misdirected counts the responses that say that a request was meant for another server, to
 	// a first attempt and to a repeat.
 	Misdirected *expvar.Map
+	// Doubts counts what became of servers at whose addresses other processes may be: began, trial
+	// and ended.
+	Doubts *expvar.Map
 	// Unkeyed counts how requests without keys got their server, while permits are in use.
 	Unkeyed *expvar.Map
 	// HeldEnded counts requests that were ended because this host holds too many bytes, by
@@ -44,6 +47,7 @@
 		Refusals:       expvar.NewMap("agatestep_gateway_refusals"),
 		Repeats:        expvar.NewMap("agatestep_gateway_repeats"),
 		RepeatsRefused: expvar.NewMap("agatestep_gateway_repeats_refused"),
+		Doubts:         expvar.NewMap("agatestep_gateway_doubts"),
 		Misdirected:    expvar.NewMap("agatestep_gateway_misdirected"),
 		Unkeyed:        expvar.NewMap("agatestep_gateway_unkeyed"),
 		HeldEnded:      expvar.NewMap("agatestep_gateway_held_ended"),
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -151,6 +151,8 @@
 		out.Unusable = "it is leaving or drained"
 	case down:
 		out.Unusable = "it cannot be reached; it is tried again in " + left.Round(time.Millisecond).String()
+	case s.inDoubt():
+		out.Unusable = "another process may be at its address"
 	case s.pauseLeft(now) > 0:
 		out.Unusable = "it asked for a pause of another " + s.pauseLeft(now).Round(time.Millisecond).String()
 	case out.Wait+out.Work > d.TimeLeft:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,9 @@
 	// MaxTableAge is the maximum age of a routing table that is used to answer or send a request;
 	// zero means no bound.
 	MaxTableAge time.Duration
+	// AddressReuseAfter is the shortest time between the end of a backend server and the start of
+	// another process at its address.
+	AddressReuseAfter time.Duration
 	// BodyBytesPerSecond limits the share of the host's link that bodies take; zero means no
 	// limit.
 	BodyBytesPerSecond float64
--- /dev/null
+++ b/internal/gateway/presence_test.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const testReuseAfter = 2 * time.Second
+
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against a server that is taken for another process although it answered so recently that
+// nothing else can be at its address, and against the opposite.
+func TestServerThatAnsweredRecentlyIsNotInDoubt(t *testing.T) {
+	is := is.New(t)
+	var p presence
+	p.recordOwn(at(0), testReuseAfter)
+	is.True(!p.recordMisdirected(at(1.9), 1, testReuseAfter))
+	is.True(!p.inDoubt())
+	is.True(p.recordMisdirected(at(2), 1, testReuseAfter))
+	is.True(p.inDoubt())
+	var never presence
+	is.True(never.recordMisdirected(at(0), 1, testReuseAfter))
+}
+
+// Guards against a doubt that outlasts a response of the server itself, and against one that ends
+// by a response from before another process got the address.
+func TestOwnResponseEndsDoubt(t *testing.T) {
+	for name, c := range map[string]struct {
+		written float64 // the refusal came at 10 s
+		ended   bool
+	}{
+		"written after the refusal":              {10.1, true},
+		"written shortly before the refusal":     {8.1, true},
+		"written before the address may be free": {7.9, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var p presence
+			p.recordMisdirected(at(10), 1, testReuseAfter)
+			is.Equal(p.recordOwn(at(c.written), testReuseAfter), c.ended)
+			is.Equal(p.inDoubt(), !c.ended)
+		})
+	}
+}
+
+// Guards against more requests to a server in doubt than one for each interval, against repeats
+// beyond the one that all services are charged for, and against a server that gets no trial after
+// it was granted another slice.
+func TestServerInDoubtGetsOnlyTrials(t *testing.T) {
+	is := is.New(t)
+	var p presence
+	p.recordMisdirected(at(0), 5, testReuseAfter)
+	is.True(!p.reserve(at(0.09), 5, firstAttempt)) // not due
+	is.True(!p.reserve(at(0.1), 5, repeatedAttempt))
+	is.True(p.reserve(at(0.1), 5, repeatedTrial))
+	is.True(!p.reserve(at(0.1), 5, firstAttempt)) // one at a time
+	is.True(p.reserve(at(0.1), 6, firstAttempt))  // granted since
+	p.recordMisdirected(at(0.15), 6, testReuseAfter)
+	is.True(!p.reserve(at(1), 6, repeatedTrial))
+	sent := 0
+	for ms := 1000; ms < 11_000; ms += 10 {
+		if p.reserve(at(float64(ms)/1000), 6, firstAttempt) {
+			sent++
+			p.recordMisdirected(at(float64(ms)/1000), 6, testReuseAfter)
+		}
+	}
+	is.True(sent >= 20 && sent <= 22) // one for each maxTrialInterval, more at first
+}
+
+// An owner was silent and lost its leases, and holds its keys again with the same epochs. Guards
+// against a host that goes on refusing requests for them: the table does not change.
+func TestReturningOwnerServesItsKeysAgain(t *testing.T) {
+	is, w := is.New(t), newHarness(t)
+	w.configure()
+	var back atomic.Bool
+	w.startBackend("desk", "b1", func(rw http.ResponseWriter, r *http.Request) {
+		if back.Load() {
+			respondHello(rw, r)
+		} else {
+			respondNotRun(http.StatusConflict)(rw, r)
+		}
+	})
+	w.setOwner("b1", 9)
+	w.sendMany(20, "GET", "/read/x")
+	back.Store(true)
+	deadline := time.Now().Add(3 * time.Second)
+	for w.sendMany(1, "GET", "/read/x") == 0 {
+		is.True(time.Now().Before(deadline))
+	}
+	is.Equal(w.sendMany(20, "GET", "/read/x"), 20)
+}
+
+// Guards against requests that are held although their server is known to be gone, and against
+// callers that are not told when it is tried again.
+func TestRequestForServerThatIsGoneIsRefusedAtOnce(t *testing.T) {
+	is, w := is.New(t), newHarness(t)
+	w.configure()
+	w.startBackend("desk", "b1", respondNotRun(http.StatusConflict))
+	w.setOwner("b1", 9)
+	w.send("GET", "/read/x", nil) // and its trial
+	w.gateway.server(w.tables().Backend("desk", "b1")).withPresence(func(p *presence) { p.nextTrial = time.Now().Add(maxTrialInterval) })
+	received := w.requestsReceived()
+	sent := time.Now()
+	status, _, header := w.send("GET", "/read/x", nil)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(time.Since(sent) < maxTrialInterval/2)
+	is.Equal(w.requestsReceived(), received)
+	retryAfter, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(retryAfter > 0 && retryAfter <= (1+retryJitter)*maxTrialInterval.Seconds())
+}
+
+// withPresence changes what the host knows about who is at the address of the server.
+func (s *server) withPresence(change func(*presence)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.presence)
+}
+
+// Requests wait for permits while a response shows that another process is at the address of
+// their server. Guards against sending them there nevertheless.
+func TestRequestsHeldMeanwhileAreNotSentToServerInDoubt(t *testing.T) {
+	is, w := is.New(t), newHarness(t)
+	w.configure()
+	w.startBackend("desk", "b1", respondNotRun(http.StatusConflict))
+	w.setOwner("b1", 9)
+	b1 := w.gateway.server(w.tables().Backend("desk", "b1"))
+	var asked atomic.Int64
+	w.onPermitRequest = func() {
+		if asked.Add(1) > 1 {
+			for !b1.inDoubt() {
+				time.Sleep(time.Millisecond)
+			}
+			b1.withPresence(func(p *presence) { p.nextTrial = time.Now().Add(time.Minute) })
+		}
+	}
+	w.sendMany(20, "GET", "/read/x")
+	is.Equal(w.requestsReceived(), 1)
+}
+
+// Guards against a repeat to a server in doubt that is charged to the caller's service only: any
+// service may get it, and its retry budget may be used up.
+func TestTrialRepeatIsChargedToAllServices(t *testing.T) {
+	for name, budget := range map[string]int{"with budget": 1, "without": 0} {
+		t.Run(name, func(t *testing.T) {
+			is, w := is.New(t), newHarness(t)
+			w.configure()
+			w.startBackend("desk", "b1", respondNotRun(http.StatusConflict))
+			w.setOwner("b1", 9)
+			other := w.gateway.retryBudget("vault")
+			for left, _ := other.Left(); left >= float64(budget)+1; left, _ = other.Left() {
+				is.True(other.TrySpend())
+			}
+			w.send("GET", "/read/x", nil)
+			_, repeats := w.arrivals("b1")
+			is.Equal(repeats, budget)
+			left, _ := other.Left()
+			is.True(left < 1)
+		})
+	}
+}
+
+// Guards against an explanation that names a server which is known to get no requests.
+func TestExplainNamesServerInDoubt(t *testing.T) {
+	is, w := is.New(t), newHarness(t)
+	w.configure()
+	w.startBackend("desk", "b1", respondNotRun(http.StatusConflict))
+	w.setOwner("b1", 9)
+	w.send("GET", "/read/x", nil)
+	r, err := http.NewRequest("GET", "http://127.0.0.1/read/x", nil)
+	is.NoErr(err)
+	r.Header.Set("Agatestep-Hash", "abc")
+	e := w.gateway.Explain(r)
+	is.True(e.Refusal != nil)
+	is.Equal(e.Services[0].Servers[0].Unusable, "another process may be at its address")
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -160,12 +160,18 @@
 // returns a refusal if the budget is used up.
 func (g *Gateway) spendRetry(c *call, b *table.Backend, budget *balance.Budget) *verdict.Error {
 	if c.sends == 0 {
+		c.sendKind = firstAttempt
 		return nil
 	}
 	allowed := budget.TrySpend()
+	c.sendKind = repeatedAttempt
+	if g.server(b).inDoubt() {
+		c.sendKind = repeatedTrial
+		allowed = g.spendTrialRetry(c.service) && allowed
+	}
 	left, burst := budget.Left()
 	g.cfg.Logger.Info("attempt charged to the retry budget", append(c.logFields(), zap.String("backend", b.Name), zap.String("address", b.Address),
-		zap.Bool("allowed", allowed), zap.Float64("left", left), zap.Float64("burst", burst))...)
+		zap.Bool("allowed", allowed), zap.Bool("trial", c.sendKind == repeatedTrial), zap.Float64("left", left), zap.Float64("burst", burst))...)
 	if allowed {
 		g.counters.Repeats.Add(c.service, 1)
 		return nil
@@ -281,22 +287,35 @@
 	if left, down := s.downTimeLeft(now); down {
 		return target{reason: "the key's owner cannot be reached"}, nil, min(left, misdirectedDelay)
 	}
+	if wait, ok := s.maySend(now, slice.Epoch, c); !ok {
+		return g.targetInDoubt(c, s, now, wait)
+	}
 	if left := s.pauseLeft(now); left > 0 {
-		return g.targetAfterPause(c, now, left)
+		return g.targetAfter(c, now, left, verdict.ReasonOverloaded, pauseReason)
 	}
 	return target{backend: b, slice: slice}, nil, 0
 }
 
-// targetAfterPause returns the target of a call all of whose servers have asked for a pause
-// that lasts for the time left: the call waits if it may be held for so long, and is refused
-// at once if not.
-func (g *Gateway) targetAfterPause(c *call, now time.Time, left time.Duration) (target, *verdict.Error, time.Duration) {
-	const reason = "the backend server asked for a pause"
+// targetInDoubt returns the target of a call for a key whose owner is in doubt and may be sent the
+// next request after the time given. While that is likely to be a handover, the call waits.
+func (g *Gateway) targetInDoubt(c *call, s *server, now time.Time, wait time.Duration) (target, *verdict.Error, time.Duration) {
+	const detail = "another process may be at the address of the key's owner"
+	if s.probablyGone() {
+		return target{}, noBackendError(detail), wait
+	}
+	return g.targetAfter(c, now, wait, verdict.ReasonNoBackend, detail)
+}
+
+const pauseReason = "the backend server asked for a pause"
+
+// targetAfter returns the target of a call that is not sent to any server for the time left: the
+// call waits if it may be held for so long, and is refused at once if not.
+func (g *Gateway) targetAfter(c *call, now time.Time, left time.Duration, reason verdict.Reason, detail string) (target, *verdict.Error, time.Duration) {
 	total := c.deadline.Sub(c.arrived)
 	if now.Add(left).Sub(c.arrived) < time.Duration(maxHoldShare*float64(total)) {
-		return target{reason: reason}, nil, left
+		return target{reason: detail}, nil, left
 	}
-	return target{}, verdict.Unavailable(verdict.ReasonOverloaded, reason), left
+	return target{}, verdict.Unavailable(reason, detail), left
 }
 
 func overloadError(wait time.Duration) *verdict.Error {
@@ -430,18 +449,16 @@
 		s.backlog.RecordReport(now, *info.Load)
 	}
 	s.slowDials = 0
-	if !info.Misdirected {
-		s.ownAnswerAt = now
-	}
 	s.backlog.RecordOutcome(now, !info.Misdirected && resp.StatusCode >= http.StatusInternalServerError)
 	s.mu.Unlock()
+	g.recordPresence(c, t, s, info, now)
 	c.recordOutcome(info, resp.StatusCode, now)
 	if !info.Misdirected { // otherwise another server may have answered at this address
 		g.applyAnswerInfo(t.backend, s, info, now)
 	}
 	if info.NotRun {
 		resp.CloseRefused()
-		e := g.notRunError(c, t, resp.StatusCode, info)
+		e := g.notRunError(c, t, s, resp.StatusCode, info)
 		if !info.Misdirected && s.hasFreeSlot(now) {
 			return nil, e, actionRetry // the server has free slots, so it refuses some requests regardless of load
 		}
@@ -497,7 +514,7 @@
 }
 
 // notRunError returns the failure of an attempt that the backend server did not run.
-func (g *Gateway) notRunError(c *call, t target, status int, info ResponseInfo) *verdict.Error {
+func (g *Gateway) notRunError(c *call, t target, s *server, status int, info ResponseInfo) *verdict.Error {
 	e := verdict.Unavailable(verdict.ReasonBackendRefused, "the backend server did not run the request: status "+strconv.Itoa(status))
 	if info.Misdirected {
 		e.Reason, e.Detail = verdict.ReasonMoved, "the backend server does not hold the key"
@@ -506,7 +523,7 @@
 	}
 	g.cfg.Logger.Info("attempt not run", append(c.logFields(), zap.String("backend", t.backend.Name), zap.String("address", t.backend.Address), zap.Uint64("epoch", t.slice.Epoch),
 		zap.String("slice_owner", t.slice.Owner), zap.Int("status", status), zap.String("reason", string(e.Reason)),
-		zap.Duration("since_own_answer", g.server(t.backend).sinceOwnAnswer(g.cfg.Clock.Now())),
+		zap.Duration("since_own_answer", s.sinceOwnAnswer(g.cfg.Clock.Now())),
 		zap.Uint64("revision", g.cfg.Tables().Revision()), zap.Duration("table_age", g.tableAge()))...)
 	return e
 }
--- a/internal/gateway/selectbackend.go
+++ b/internal/gateway/selectbackend.go
@@ -33,7 +33,7 @@
 	if len(members) == 0 {
 		return target{reason: "the service has no backend server"}, nil, misdirectedDelay
 	}
-	var best *table.Backend
+	var best, doubted *table.Backend
 	var bestCost, bestWait, pause time.Duration
 	decision := backlog.Refuse
 	compared := 0
@@ -49,6 +49,12 @@
 		if g.isLeaving(b) {
 			continue // known before the table says so
 		}
+		if s.inDoubt() {
+			if _, ok := s.maySend(now, 0, c); ok {
+				doubted = b
+			}
+			continue
+		}
 		if left := s.pauseLeft(now); left > 0 {
 			if pause == 0 || left < pause {
 				pause = left
@@ -76,7 +82,9 @@
 	}
 	switch {
 	case best == nil && pause > 0:
-		return g.targetAfterPause(c, now, pause)
+		return g.targetAfter(c, now, pause, verdict.ReasonOverloaded, pauseReason)
+	case best == nil && doubted != nil:
+		return target{backend: doubted}, nil, 0
 	case best == nil:
 		return target{reason: "no backend server of the service can be reached"}, nil, misdirectedDelay
 	case decision == backlog.Refuse:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -21,9 +21,7 @@
 	pausedUntil time.Time
 	// slowDials counts the consecutive connections that took too long to open.
 	slowDials int
-	// ownAnswerAt is when a response last showed that the server itself is at its address, not
-	// another process: any but one that says that the request was misdirected.
-	ownAnswerAt time.Time
+	presence  presence
 }
 
 func (g *Gateway) server(b *table.Backend) *server {
@@ -78,16 +76,6 @@
 	return s.downUntil.Sub(now), now.Before(s.downUntil)
 }
 
-// sinceOwnAnswer returns how long ago the server itself answered, or -1 if it has not.
-func (s *server) sinceOwnAnswer(now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ownAnswerAt.IsZero() {
-		return -1
-	}
-	return now.Sub(s.ownAnswerAt)
-}
-
 // pauseUntil records that the server asked for a pause. A later response to an earlier
 // request does not shorten it.
 func (s *server) pauseUntil(until time.Time) {
--- a/internal/gateway/tableage.go
+++ b/internal/gateway/tableage.go
@@ -93,5 +93,8 @@
 	if g.targetInvalid(c, t) {
 		return verdict.Unavailable(verdict.ReasonRetargeted, "the backend server is no longer the right one")
 	}
+	if !g.reserveSend(c, t) {
+		return verdict.Unavailable(verdict.ReasonRetargeted, "another process may be at the address of the backend server")
+	}
 	return nil
 }
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -56,6 +56,10 @@
 	RetryRatio  float64       `yaml:"retry_ratio"`
 	RetrySlack  float64       `yaml:"retry_slack"`
 	RetryWindow time.Duration `yaml:"retry_window"`
+	// AddressReuseAfter is the shortest time between the end of a backend server and the start
+	// of another process at its address. Until then, a server that has answered is known to be
+	// at its address. Default 0s: that is never known.
+	AddressReuseAfter time.Duration `yaml:"address_reuse_after"`
 	// ColdOvershoot and ColdSlack limit the requests that all entry hosts together
 	// send to a cold backend server within one second: the overshoot times the warm-up
 	// rate of its service plus the slack. Defaults 1.5 and 5.
@@ -160,6 +164,7 @@
 	d.Require(deployment.RetryRatio >= 0 && deployment.RetryRatio <= 1, "deployment.retry_ratio", "is %v; must be between 0 and 1", deployment.RetryRatio)
 	d.Require(deployment.RetrySlack >= 0, "deployment.retry_slack", "is %g; must not be negative", deployment.RetrySlack)
 	d.Require(deployment.RetryWindow > 0, "deployment.retry_window", "is %v; must be above 0", deployment.RetryWindow)
+	yamldoc.RequireRange(d, "deployment.address_reuse_after", deployment.AddressReuseAfter, 0, time.Hour)
 	d.Require(deployment.ColdOvershoot >= 1, "deployment.cold_overshoot", "is %v; must be at least 1", deployment.ColdOvershoot)
 	d.Require(deployment.ColdSlack >= 0, "deployment.cold_slack", "is %g; must not be negative", deployment.ColdSlack)
 	yamldoc.RequireRange(d, "deployment.allowance_window", deployment.AllowanceWindow, 0, time.Hour)
