Hold an answer while requests are begun behind it, so that its end does not take theirs

Callers that pipeline lost answers that were ready: requests read ahead were passed on and run whatever was before them, and an answer over 64 KiB was passed on while it arrived.

Change: the writer of the request whose turn it is holds an answer that is not complete while others have been begun behind it, up to 512 KiB within the bound of the host, and the gateway puts a failure in its place if it breaks off. Once a part was passed on, nothing is begun behind it.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -72,12 +72,42 @@
 	if result := g.run(ctx, c); result.failure != nil {
 		g.writeRefusal(w, r, c, result.failure, result.retryAfter)
 	} else {
-		answered()
-		g.writeResponse(w, c, result.response)
+		g.answer(ctx, w, c, result.response, answered)
 	}
 	return c
 }
 
+// retractable is an http.ResponseWriter that may hold an answer until it is complete. An answer can
+// be retracted until it is passed on.
+type retractable interface {
+	Retract() bool
+	WhenPassing(func())
+}
+
+// answer writes the response of a backend server, or the failure if it breaks off while the writer
+// holds it. answered protects the response from the end of a stop once it is passed on.
+func (g *Gateway) answer(ctx context.Context, w http.ResponseWriter, c *call, resp *bufferedResponse, answered func() bool) {
+	held, mayRetract := w.(retractable)
+	if mayRetract && resp.partial {
+		held.WhenPassing(func() { answered() })
+	} else {
+		answered()
+	}
+	err := g.writeResponse(w, c, resp)
+	if err == nil {
+		return
+	}
+	if !mayRetract || !held.Retract() {
+		g.recordResponse(c, resp.StatusCode, err)
+		panic(http.ErrAbortHandler) // the only way to end a response that must not look complete
+	}
+	failure := brokenOffError(err)
+	if ctx.Err() != nil {
+		failure.SetContextEnd(ctx)
+	}
+	g.writeRefusal(w, c.request, c, failure, 0)
+}
+
 // callerStallTimeout is how long a caller may take to read a part of its response, or to send
 // the rest of a body after the response.
 const callerStallTimeout = 3 * time.Second
@@ -232,9 +262,9 @@
 	return buffered, err
 }
 
-// writeResponse forwards the response of a backend server to the caller. It panics with
-// http.ErrAbortHandler if the response breaks off.
-func (g *Gateway) writeResponse(w http.ResponseWriter, c *call, resp *bufferedResponse) {
+// writeResponse forwards the response of a backend server to the caller. It returns an error if the
+// response breaks off.
+func (g *Gateway) writeResponse(w http.ResponseWriter, c *call, resp *bufferedResponse) error {
 	defer resp.Body.Close()
 	copyHeader(w.Header(), resp.Header)
 	if !resp.partial {
@@ -259,11 +289,16 @@
 		resp.prefix = nil
 		err = g.copyAnswer(out, c, resp)
 	}
-	g.recordResponse(c, resp.StatusCode, err)
 	if err != nil {
-		panic(http.ErrAbortHandler) // the only way to end a response that must not look complete
+		return err
 	}
+	g.recordResponse(c, resp.StatusCode, nil)
 	complete()
+	return nil
+}
+
+func brokenOffError(cause error) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Reason: verdict.ReasonConnectionLost, Detail: "the answer broke off", Cause: cause}
 }
 
 func copyHeader(to, from http.Header) {
--- a/internal/gateway/pipelined_test.go
+++ b/internal/gateway/pipelined_test.go
@@ -180,3 +180,44 @@
 	_, body := c.receive()
 	is.Equal(body, "/list/2")
 }
+
+// Guards against answers that are thrown away with their connection because one before them breaks
+// off, or is not complete when a stop ends.
+func TestUnfinishedAnswerLeavesThoseBehindIt(t *testing.T) {
+	for name, stops := range map[string]bool{"broken off": false, "stop": true} {
+		t.Run(name, func(t *testing.T) {
+			is, w := is.New(t), newHarness(t)
+			w.configure()
+			small, sent := make(chan struct{}), make(chan struct{})
+			w.startBackend("vault", "b1", func(rw http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/list/large" {
+					fmt.Fprint(rw, r.URL.Path)
+					close(small)
+					return
+				}
+				<-small
+				rw.Header().Set("Content-Length", itoa(4*maxBufferedResponse))
+				_, _ = rw.Write(make([]byte, 2*maxBufferedResponse))
+				_ = http.NewResponseController(rw).Flush()
+				close(sent)
+				if !stops {
+					panic(http.ErrAbortHandler)
+				}
+				<-r.Context().Done()
+			})
+			c := w.connectPipelined()
+			c.send("/list/large", "/list/small")
+			<-sent
+			if stops {
+				time.Sleep(50 * time.Millisecond) // the answer is on its way to the caller
+				w.gateway.StartShutdown(time.Now().Add(time.Minute))
+				w.gateway.EndRequests()
+			}
+			resp, _ := c.receive()
+			is.True(resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout)
+			is.Equal(resp.Header.Get(wire.HeaderRequestID), "/list/large")
+			_, body := c.receive()
+			is.Equal(body, "/list/small")
+		})
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -468,8 +468,7 @@
 	buffered, err := bufferResponse(resp, c.held.answer, now)
 	if err != nil {
 		resp.Body.Close()
-		e := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Reason: verdict.ReasonConnectionLost,
-			Detail: "the answer broke off", Cause: err}
+		e := brokenOffError(err)
 		c.outcome.Failed = ctx.Err() == nil
 		if ctx.Err() != nil {
 			e.SetContextEnd(ctx)
--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -28,9 +28,10 @@
 	status int // 0 before WriteHeader
 	body   []byte
 	// to gets the answer once it is its turn; nil before.
-	to        http.ResponseWriter
-	err       error // of a write to the caller
-	abandoned bool
+	to          *turnWriter
+	whenPassing func()
+	err         error // of a write to the caller
+	abandoned   bool
 }
 
 func newHeldAnswer(f *Front) *heldAnswer {
@@ -96,12 +97,8 @@
 
 // pass writes p to the caller.
 func (a *heldAnswer) pass(p []byte) (written int, err error) {
-	rc := http.NewResponseController(a.to)
-	for a.err == nil && written < len(p) {
-		_ = rc.SetWriteDeadline(time.Now().Add(callerStallTimeout)) // test recorders have no deadlines
-		var n int
-		n, a.err = a.to.Write(p[written:min(written+writeSize, len(p))])
-		written += n
+	if a.err == nil {
+		written, a.err = writeSlowly(a.to, p)
 	}
 	return written, a.err
 }
@@ -126,11 +123,35 @@
 // EnableFullDuplex exists for http.ResponseController; the request has no body to read.
 func (a *heldAnswer) EnableFullDuplex() error { return nil }
 
+// Retract is that of turnWriter.
+func (a *heldAnswer) Retract() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.abandoned || a.to != nil && !a.to.Retract() {
+		return false
+	}
+	a.release()
+	a.status = 0
+	clear(a.header)
+	return true
+}
+
+// WhenPassing is that of turnWriter.
+func (a *heldAnswer) WhenPassing(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.whenPassing = f
+	if a.to != nil {
+		a.to.WhenPassing(f)
+	}
+}
+
 // attach passes on what is held, and from now on what is written.
-func (a *heldAnswer) attach(w http.ResponseWriter) {
+func (a *heldAnswer) attach(w *turnWriter) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.to = w
+	w.WhenPassing(a.whenPassing)
 	if a.status != 0 {
 		a.passHeader()
 	}
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -35,7 +35,7 @@
 
 // deliver writes the answer to w, of which a part may be still to come. r is the request as
 // net/http has read it.
-func (a *call) deliver(w http.ResponseWriter, r *http.Request) {
+func (a *call) deliver(w *turnWriter, r *http.Request) {
 	stop := context.AfterFunc(r.Context(), a.cancel)
 	defer stop()
 	a.answer.attach(w)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -50,7 +50,9 @@
 	readEnded            chan struct{}
 	deadline             time.Time
 
-	announcer announcer
+	// streaming is set while an answer is passed on that may break off.
+	streaming bool
+	turn      turnWriter
 }
 
 // Read implements net.Conn.
@@ -215,7 +217,8 @@
 func (c *Conn) end(returned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current, c.announcer = nil, announcer{}
+	c.turn.drop() // of an answer that broke off
+	c.current, c.turn, c.streaming = nil, turnWriter{conn: c}, false
 	c.ending = c.ending || !returned
 }
 
--- a/internal/pipeline/front.go
+++ b/internal/pipeline/front.go
@@ -53,6 +53,7 @@
 	countConnLimit  = "connection_limit"  // reading stopped at the bound of a connection
 	countHostLimit  = "host_limit"        // reading stopped at the bound of the host
 	countAnswerWait = "answer_wait"       // answers too large to hold
+	countUnheld     = "answer_unheld"     // answers passed on before they were complete, with requests begun behind them
 	countAbandoned  = "abandoned"         // requests whose connection ended before their turn
 	countLinger     = "lingered"          // pipelined connections that were read after the last answer
 	countMismatch   = "different_request" // must stay 0
@@ -69,7 +70,9 @@
 // Conn returns a connection on which requests are read ahead. closeWrite ends the sending
 // direction of the connection; closed is called once c is closed, which may be after Close.
 func (f *Front) Conn(c net.Conn, closeWrite func() error, closed func()) *Conn {
-	return &Conn{Conn: c, front: f, closeWrite: closeWrite, onClosed: closed, atHead: true}
+	conn := &Conn{Conn: c, front: f, closeWrite: closeWrite, onClosed: closed, atHead: true}
+	conn.turn.conn = conn
+	return conn
 }
 
 // ServeHTTP implements http.Handler.
@@ -87,9 +90,13 @@
 	defer func() { c.end(returned) }()
 	switch {
 	case ahead != nil:
-		ahead.deliver(c.announcing(w, r), r)
+		turn := c.inTurn(w, r)
+		ahead.deliver(turn, r)
+		turn.finish()
 	case first:
-		f.next.ServeHTTP(c.announcing(w, r), r)
+		turn := c.inTurn(w, r)
+		f.next.ServeHTTP(turn, r)
+		turn.finish()
 	default:
 		f.next.ServeHTTP(w, r)
 	}
--- a/internal/pipeline/readahead.go
+++ b/internal/pipeline/readahead.go
@@ -28,7 +28,7 @@
 // mayBegin reports whether the state and the bounds of the connection allow to begin another
 // request.
 func (c *Conn) mayBegin() bool {
-	return !c.ending && !c.barrier && !c.closed && c.err == nil && len(c.queue)+1 < c.front.cfg.Concurrent
+	return !c.ending && !c.barrier && !c.streaming && !c.closed && c.err == nil && len(c.queue)+1 < c.front.cfg.Concurrent
 }
 
 // stopReadAhead ends readAhead and restores the deadline that net/http has set.
