--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -31,6 +31,9 @@
 		// Nothing is recorded, so nothing is acknowledged: the server retries.
 		return wire.HeartbeatReply{Reason: fmt.Sprintf("no configuration names service %q", hb.Service)}
 	}
+	if svc := t.Items().Service(hb.Service); hb.NoKeyLists && svc != nil && svc.Keyed {
+		return wire.HeartbeatReply{Refused: true, Reason: "the heartbeat lacks the lists of keys that a server of this service sends"}
+	}
 	newest, err := l.observeHeartbeat(received, &hb, t)
 	if err != nil {
 		return wire.HeartbeatReply{Reason: err.Error()}
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -313,3 +313,17 @@
 		})
 	}
 }
+
+// Another writer sends a heartbeat of a later process of a server, without its lists of keys. Guards
+// against keys that pass on while the server holds them.
+func TestHeartbeatWithoutKeyListsTakesNoKeys(t *testing.T) {
+	is, r := is.New(t), newHeartbeatFleet(t, 3)
+	before := r.state.Table().SlicesOf("desk", "b000")
+	is.True(len(before) > 0)
+	forged := *r.heartbeats["b000"]
+	forged.Born, forged.Sequence, forged.Leaving, forged.NoKeyLists, forged.Held = forged.Born+1, 1, true, true, nil
+	reply := r.Heartbeat(ctx, forged)
+	is.True(reply.Refused && !reply.Acked)
+	is.Equal(r.state.Table().SlicesOf("desk", "b000"), before)
+	is.True(r.sendHeartbeat("b000").Grant)
+}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -20,6 +20,9 @@
 	Held []KeyRange `json:"holds,omitempty"`
 	// Released are the ranges that it released since its last acknowledged heartbeat.
 	Released []KeyRange `json:"released,omitempty"`
+	// NoKeyLists is set if the heartbeat lacks one of these lists, which those of servers with
+	// keys always have.
+	NoKeyLists bool `json:"no_key_lists,omitempty"`
 }
 
 // KeyRange is an inclusive range of key hashes.
