Sync what the store reads at its start, before it counts as durable

Cause: a process that is killed between a write and the end of its sync leaves a record that the next process reads and counts as durable, and never syncs. The next record goes to another file. A loss of power then leaves a gap, which counts as damage, and the folder is emptied.

TestRecordReadAtOpenSurvivesLossOfPower fails without it: entry 4 does not continue the log.

--- a/internal/logstore/faults_test.go
+++ b/internal/logstore/faults_test.go
@@ -149,3 +149,44 @@
 		_ = replication.Unmarshal(data, &logRecord{})
 	})
 }
+
+// A process is killed while it syncs a record, its successor reads the record and appends more, and
+// then power is lost. Guards against a log that has a gap after that: the successor counts the
+// record as durable.
+func TestRecordReadAtOpenSurvivesLossOfPower(t *testing.T) {
+	is, dir := is.New(t), t.TempDir()
+	const opsBeforeKill = 8 // the identity and two records, each written and synced, and a third record
+	killed, files := testFiles(opsBeforeKill, errors.New("killed"))
+	s := mustOpen(t, dir, killed)
+	for i := range uint64(2) {
+		is.NoErr(s.Append(replication.HardState{Term: 1}, testEntries(i+1)))
+	}
+	is.True(s.Append(replication.HardState{Term: 1}, testEntries(3)) != nil)
+	is.NoErr(s.Close())
+
+	synced := map[string]int64{}
+	for _, f := range *files {
+		synced[f.path] = f.synced
+	}
+	next, nextFiles := testFiles(0, nil)
+	next.open = func(path string) (file, error) {
+		f, err := openFile(path)
+		is.NoErr(err)
+		info, err := os.Stat(path)
+		is.NoErr(err)
+		*nextFiles = append(*nextFiles, &testFile{file: f, path: path, opsUntilFailure: new(int), written: info.Size()})
+		return (*nextFiles)[len(*nextFiles)-1], nil
+	}
+	s = mustOpen(t, dir, next)
+	is.NoErr(s.Append(replication.HardState{Term: 1}, testEntries(4)))
+	is.NoErr(s.Close())
+	for _, f := range *nextFiles {
+		synced[f.path] = max(synced[f.path], f.synced)
+	}
+	for path, size := range synced {
+		is.NoErr(os.Truncate(path, size))
+	}
+	state, err := mustOpen(t, dir, testOptions).Load()
+	is.NoErr(err)
+	is.Equal(len(state.Entries), 4)
+}
--- a/internal/logstore/files.go
+++ b/internal/logstore/files.go
@@ -26,6 +26,10 @@
 	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 }
 
+type openFunc func(path string) (file, error)
+
+func openFile(path string) (file, error) { return os.OpenFile(path, os.O_WRONLY, 0) }
+
 // writeAtomically replaces the file at path: it writes and syncs a temporary file,
 // renames it and syncs the folder.
 func writeAtomically(create createFunc, path string, data []byte) error {
--- a/internal/logstore/store.go
+++ b/internal/logstore/store.go
@@ -44,6 +44,7 @@
 	SegmentBytes int64  // zero means DefaultSegmentBytes
 
 	create createFunc // replaced by tests
+	open   openFunc   // of a file that exists; replaced by tests
 }
 
 // Store is the disk storage of one replica. It is not safe for concurrent use. Its
@@ -75,6 +76,9 @@
 	if o.create == nil {
 		o.create = createFile
 	}
+	if o.open == nil {
+		o.open = openFile
+	}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, jujuerrors.Annotate(err, "logstore")
 	}
@@ -102,6 +106,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.syncExisting(); err != nil {
+		return err
+	}
 	s.hardState = state.HardState
 	s.tail = &logTail{base: state.Snapshot.Index, entries: state.Entries}
 	if compacted {
@@ -110,6 +117,32 @@
 	return s.compactLog(state.Snapshot, state.Entries)
 }
 
+// syncExisting syncs what was read. An earlier process may have been killed between a write and its
+// sync; what it wrote counts as durable from now on, and further records follow it.
+func (s *Store) syncExisting() error {
+	for _, prefix := range []string{segmentPrefix, snapshotPrefix} {
+		numbers, err := numberedFiles(s.dir, prefix)
+		if err != nil {
+			return err
+		}
+		for _, n := range numbers {
+			if err := s.syncFile(numberedPath(s.dir, prefix, n)); err != nil {
+				return err
+			}
+		}
+	}
+	return syncFolder(s.dir)
+}
+
+func (s *Store) syncFile(path string) error {
+	f, err := s.opts.open(path)
+	if err != nil {
+		return jujuerrors.Trace(err)
+	}
+	defer f.Close()
+	return jujuerrors.Annotatef(f.Sync(), "syncing %s", path)
+}
+
 // Identity returns the identity that was made when the folder was first opened.
 func (s *Store) Identity() replication.Identity { return s.identity }
 
