Choose servers without keys again some time after a doubt

That is right for a process that is gone, and costs capacity for good if the response was a fault of the server. TestServerWithoutKeysIsTriedAgainAfterDoubt fails on the code before.

--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -13,6 +13,10 @@
 	// sends to a server at whose address another process may be; the interval doubles with each.
 	minTrialInterval = 100 * time.Millisecond
 	maxTrialInterval = 500 * time.Millisecond
+	// unkeyedTrialAfter is the time after the last misdirected response from which on a server of a
+	// service without keys is chosen like others: others can serve its requests, and a trial that
+	// fails costs a repeat.
+	unkeyedTrialAfter = 5 * time.Second
 )
 
 // presence is what a host knows about whether a backend server is at the address that the table
@@ -133,6 +137,15 @@
 	return s.presence.inDoubt()
 }
 
+// avoided reports whether a call without a key is sent to other servers because another process may
+// be at the address of this one.
+func (s *server) avoided(now time.Time, c *call) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.presence
+	return p.inDoubt() && (c.sends > 0 || now.Before(p.nextTrial) || now.Sub(p.lastMisdirected) < unkeyedTrialAfter)
+}
+
 // maySend reports whether a call may be sent to the server now, and how long to wait if not.
 func (s *server) maySend(now time.Time, epoch uint64, c *call) (wait time.Duration, ok bool) {
 	kind := firstAttempt
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -98,6 +98,29 @@
 	is.Equal(w.sendMany(20, "GET", "/read/x"), 20)
 }
 
+// Guards against a server of a service without keys that gets no requests for ever after it was in
+// doubt, though others are not loaded.
+func TestServerWithoutKeysIsTriedAgainAfterDoubt(t *testing.T) {
+	is, w := is.New(t), newHarness(t)
+	w.configure()
+	w.startBackend("vault", "b1", firstThen(respondNotRun(http.StatusConflict), respondHello))
+	w.startBackend("vault", "b2", respondHello)
+	arrived := 0
+	for arrived == 0 {
+		w.sendMany(1, "POST", "/scan/x")
+		arrived, _ = w.arrivals("b1")
+	}
+	is.Equal(w.sendMany(20, "POST", "/scan/x"), 20)
+	arrived, _ = w.arrivals("b1")
+	is.Equal(arrived, 1)
+	b1 := w.gateway.server(w.tables().Backend("vault", "b1"))
+	b1.withPresence(func(p *presence) {
+		p.lastMisdirected, p.nextTrial = p.lastMisdirected.Add(-unkeyedTrialAfter), p.nextTrial.Add(-unkeyedTrialAfter)
+	})
+	is.Equal(w.sendMany(20, "POST", "/scan/x"), 20)
+	is.True(!b1.inDoubt())
+}
+
 // Guards against requests that are held although their server is known to be gone, and against
 // callers that are not told when it is tried again.
 func TestRequestForServerThatIsGoneIsRefusedAtOnce(t *testing.T) {
--- a/internal/gateway/selectbackend.go
+++ b/internal/gateway/selectbackend.go
@@ -49,7 +49,7 @@
 		if g.isLeaving(b) {
 			continue // known before the table says so
 		}
-		if s.inDoubt() {
+		if s.avoided(now, c) {
 			if _, ok := s.maySend(now, 0, c); ok {
 				doubted = b
 			}
--- a/internal/gateway/servicepermit.go
+++ b/internal/gateway/servicepermit.go
@@ -207,7 +207,7 @@
 // of the host that granted it.
 func (g *Gateway) useServiceGrant(c *call, grant *serviceGrant, reply wire.ServicePermitReply) serviceDecision {
 	b := g.cfg.Tables().Backend(c.service, reply.Backend)
-	if b == nil || b.Born != reply.Born || b.Cold || g.server(b).inDoubt() || g.targetInvalid(c, target{backend: b}) {
+	if b == nil || b.Born != reply.Born || b.Cold || g.server(b).avoided(g.cfg.Clock.Now(), c) || g.targetInvalid(c, target{backend: b}) {
 		g.withdrawServicePermit(c, grant)
 		g.cfg.Logger.Info("server of a permit cannot be used; this host chooses", append(c.logFields(), zap.String("backend", reply.Backend),
 			zap.String("asked", grant.host.Host))...)
@@ -254,7 +254,7 @@
 func (g *Gateway) unusable(c *call, b *table.Backend, now time.Time, members int) bool {
 	s := g.server(b)
 	_, down := s.downTimeLeft(now)
-	return down || s.inDoubt() || s.pauseLeft(now) > 0 || g.isLeaving(b) || c.tried[keyOf(b)] && len(c.tried) < members
+	return down || s.avoided(now, c) || s.pauseLeft(now) > 0 || g.isLeaving(b) || c.tried[keyOf(b)] && len(c.tried) < members
 }
 
 func (g *Gateway) withdrawServicePermit(c *call, grant *serviceGrant) {
