Review stand-ins: fill in the new setting of the template

The template of entry hosts has a section for the time after which an address may be reused, which the program behind cases 1 to 5 did not know, so that they could not run (status 2).

--- a/review/platform/deployment.go
+++ b/review/platform/deployment.go
@@ -115,6 +115,9 @@
 // the review has none, for which such a section is empty.
 var allowanceSection = regexp.MustCompile(`\{\{#bounds\.quota_\w+\}\}.*\{\{/bounds\.quota_\w+\}\}`)
 
+// reuseSection matches what the template has for the time after which an address may be reused.
+var reuseSection = regexp.MustCompile(`\{\{#bounds\.reuse_after_s\}\}.*\{\{/bounds\.reuse_after_s\}\}`)
+
 // writeSettings fills in the template of the deploy file, with the bounds of the site file.
 func (d *deployment) writeSettings(h *host, bootstrap bool) error {
 	template, err := os.ReadFile(filepath.Join(d.root, "deploy", h.role+".yaml"))
@@ -123,6 +126,7 @@
 	}
 	text := seedSection.ReplaceAllString(string(template), `"`+strings.Join(d.seeds, `","`)+`"`)
 	text = allowanceSection.ReplaceAllString(text, "")
+	text = reuseSection.ReplaceAllString(text, "address_reuse_after: 2s")
 	for name, value := range map[string]any{
 		"node_name": h.name, "zone": h.zone, "region": "region-1", "data_dir": h.folder, "ip": h.ip,
 		"listen.control": h.address(portControl), "listen.front": h.address(portFront), "listen.readiness": h.address(portReadiness),
